--- /dev/null
+++ b/Libraries/LibDispatch/AgentCore.cpp
@@ -0,0 +1,387 @@
+#include "LibDispatch/AgentCore.h"
+
+#include <algorithm>
+
+namespace vanillaworks::dispatch {
+
+using protocol::RefusalReason;
+using protocol::ResultCode;
+
+AgentCore::AgentCore(protocol::AgentHello aIdentity,
+                     AgentLimits aLimits,
+                     ConfigurationHolder& aConfiguration,
+                     AgentPort& aPort)
+  : identity_(std::move(aIdentity))
+  , limits_(aLimits)
+  , configuration_(aConfiguration)
+  , port_(aPort)
+  , gate_(identity_.upstream, identity_.domain, aLimits.gate, aConfiguration)
+{
+}
+
+void
+AgentCore::OnWelcome(const protocol::Welcome& aWelcome)
+{
+  auto known = sessions_.find(aWelcome.entry);
+  if (known != sessions_.end() &&
+      known->second.incarnation > aWelcome.incarnation) {
+    // An older life of this entry, woken late: its frames are ignored.
+    return;
+  }
+  sessions_[aWelcome.entry] = { aWelcome.incarnation, {} };
+  Reconcile(aWelcome);
+}
+
+void
+AgentCore::Reconcile(const protocol::Welcome& aWelcome)
+{
+  EntryIdentity identity{ aWelcome.entry, aWelcome.incarnation };
+  protocol::Reconcile reconcile;
+  for (const auto& key : aWelcome.outstanding) {
+    // The old connection is closed at this end, so what has not arrived on
+    // it never will.
+    if (!IsWaiting(key) && !started_.contains(key)) {
+      reconcile.neverReceived.push_back(key);
+    }
+  }
+  port_.SendToEntry(aWelcome.entry, reconcile);
+  for (const auto& [number, held] : held_) {
+    auto started = started_.find(held.result.key);
+    if (started != started_.end() && started->second.owner == identity) {
+      port_.SendToEntry(aWelcome.entry, held.result);
+    }
+  }
+}
+
+void
+AgentCore::OnLinkDown(const EntryId& aEntry)
+{
+  sessions_.erase(aEntry);
+}
+
+void
+AgentCore::OnFrame(const EntryId& aEntry,
+                   const protocol::Frame& aFrame,
+                   MonotonicTime aNow)
+{
+  auto found = sessions_.find(aEntry);
+  if (found == sessions_.end()) {
+    return;
+  }
+  auto& session = found->second;
+  const auto& message = aFrame.message;
+  if (const auto* update =
+        std::get_if<protocol::ConfigurationUpdate>(&message)) {
+    OnConfiguration(*update, aNow);
+  }
+  OnHeader(aEntry, session, aFrame.header);
+  if (const auto* start = std::get_if<protocol::Start>(&message)) {
+    OnStart(aEntry, session, *start, aNow);
+  } else if (const auto* cancel = std::get_if<protocol::Cancel>(&message)) {
+    OnCancel(*cancel);
+  } else if (const auto* fence = std::get_if<protocol::Fence>(&message)) {
+    OnFence(aEntry, session, *fence, aNow);
+  } else if (const auto* registered =
+               std::get_if<protocol::Registered>(&message)) {
+    OnRegistered(*registered, aNow);
+  }
+  StartWhatFits(aNow);
+}
+
+void
+AgentCore::OnHeader(const EntryId& aEntry,
+                    Session& aSession,
+                    const protocol::Header& aHeader)
+{
+  if (aHeader.echo != 0) {
+    aSession.echo = std::max(aSession.echo, FromMicroseconds(aHeader.echo));
+  }
+  for (auto number : aHeader.acknowledged) {
+    DropHeld(number);
+  }
+  if (aHeader.echo != 0 && aHeader.versionAge >= 0) {
+    // The frame was written after the echoed send time, so counting from
+    // there never makes the version look newer than it is, however long the
+    // frame lay in a buffer or this process was stopped.
+    gate_.OnVouched(aHeader.version,
+                    aSession.echo - Microseconds(aHeader.versionAge));
+  }
+  if (aHeader.version < configuration_.Current()->version) {
+    auto current = configuration_.Current();
+    port_.SendToEntry(
+      aEntry, protocol::ConfigurationUpdate{ current->version, current->text });
+  }
+}
+
+void
+AgentCore::OnConfiguration(const protocol::ConfigurationUpdate& aUpdate,
+                           MonotonicTime aNow)
+{
+  auto parsed = ConfigurationDocument::Parse(aUpdate.version, aUpdate.document);
+  if (parsed.IsError()) {
+    // FIXME: Count documents that a newer release wrote and we can't read.
+    return;
+  }
+  if (configuration_.Adopt(parsed.ReleaseValue()) == Adoption::Adopted) {
+    RefuseForbidden(aNow);
+  }
+}
+
+void
+AgentCore::OnStart(const EntryId& aEntry,
+                   const Session& aSession,
+                   const protocol::Start& aStart,
+                   MonotonicTime aNow)
+{
+  EntryIdentity sender{ aEntry, aSession.incarnation };
+  // A frame that lay in a buffer tells too long a time to its deadline.
+  if (aNow - aSession.echo > limits_.gate.maxConfigurationAge) {
+    return Refuse(sender, aStart.key, RefusalReason::ConfigurationStale);
+  }
+  if (IsWaiting(aStart.key)) {
+    return port_.CountRefusal(RefusalReason::Duplicate);
+  }
+  QueuedTask task{ aStart, sender, aNow + Microseconds(aStart.remaining) };
+  auto reason = gate_.Check(RequestOf(task), aNow);
+  if (reason == RefusalReason::Duplicate) {
+    return AnswerDuplicate(sender, aStart.key);
+  }
+  if (reason == RefusalReason::None && gate_.Streak().IsSetAside() &&
+      !queue_.empty()) {
+    reason = RefusalReason::SetAside;
+  }
+  if (reason == RefusalReason::None && !gate_.HasSlot() &&
+      queue_.size() >= limits_.queue) {
+    reason = RefusalReason::QueueFull;
+  }
+  if (reason != RefusalReason::None) {
+    return Refuse(sender, aStart.key, reason);
+  }
+  QueueOrder order{ aStart.rank, nextQueued_++ };
+  waiting_.emplace(aStart.key, order);
+  queue_.emplace(order, std::move(task));
+}
+
+void
+AgentCore::AnswerDuplicate(const EntryIdentity& aSender,
+                           const protocol::TaskKey& aKey)
+{
+  port_.CountRefusal(RefusalReason::Duplicate);
+  auto started = started_.find(aKey);
+  bool isRunning = started != started_.end() && started->second.running;
+  if (isRunning) {
+    return;
+  }
+  auto held = started == started_.end() ? held_.end()
+                                        : held_.find(started->second.result);
+  if (held != held_.end()) {
+    return SendToOwner(aSender, held->second.result);
+  }
+  // It did start here once, so this must not read as "not started".
+  protocol::TaskResult result;
+  result.key = aKey;
+  result.code = ResultCode::Failed;
+  result.reason = RefusalReason::Duplicate;
+  SendToOwner(aSender, result);
+}
+
+void
+AgentCore::OnCancel(const protocol::Cancel& aCancel)
+{
+  for (const auto& key : aCancel.keys) {
+    auto waiting = waiting_.find(key);
+    if (waiting == waiting_.end()) {
+      continue;
+    }
+    auto queued = queue_.find(waiting->second);
+    auto sender = queued->second.sender;
+    queue_.erase(queued);
+    waiting_.erase(waiting);
+    Refuse(sender, key, RefusalReason::Cancelled);
+  }
+}
+
+void
+AgentCore::OnFence(const EntryId& aFrom,
+                   const Session& aSession,
+                   const protocol::Fence& aFence,
+                   MonotonicTime aNow)
+{
+  EntryIdentity fenced{ aFence.entry, aFence.incarnation };
+  EntryIdentity owner{ aFrom, aSession.incarnation };
+  gate_.FenceIncarnation(fenced);
+  RefuseForbidden(aNow);
+  protocol::FenceReport report{ fenced.entry, fenced.incarnation, {}, {}, {} };
+  for (auto& [key, task] : started_) {
+    if (task.sender.entry != fenced.entry ||
+        task.sender.incarnation > fenced.incarnation) {
+      continue;
+    }
+    task.owner = owner;
+    auto held = held_.find(task.result);
+    if (task.running) {
+      report.running.push_back(key);
+    } else if (held != held_.end()) {
+      report.ended.push_back(held->second.result);
+    } else {
+      report.forgotten.push_back(key);
+    }
+  }
+  port_.SendToEntry(aFrom, std::move(report));
+}
+
+void
+AgentCore::OnRegistered(const protocol::Registered& aRegistered,
+                        MonotonicTime aNow)
+{
+  // The fences go first: a claimed task may start from the next line on.
+  for (const auto& [entry, incarnation] : aRegistered.fences) {
+    gate_.FenceIncarnation({ entry, incarnation });
+  }
+  gate_.SetRegistered();
+  RefuseForbidden(aNow);
+}
+
+void
+AgentCore::OnTaskEnded(const protocol::TaskKey& aKey,
+                       protocol::ResultCode aCode,
+                       std::string aPayload,
+                       Microseconds aService,
+                       MonotonicTime aNow)
+{
+  gate_.End(aKey);
+  auto started = started_.find(aKey);
+  if (started != started_.end()) {
+    if (aCode == ResultCode::Completed) {
+      gate_.Streak().OnSuccess();
+    } else {
+      gate_.Streak().OnFailure(aKey.submission, aNow);
+    }
+    auto& task = started->second;
+    task.running = false;
+    task.result = nextResult_++;
+    protocol::TaskResult result{
+      task.result,     aKey, aCode, RefusalReason::None, std::move(aPayload),
+      aService.count()
+    };
+    heldBytes_ += result.payload.size();
+    auto expires = std::max(task.deadline, aNow) + limits_.gate.retention;
+    held_.emplace(task.result, HeldResult{ result, expires });
+    while (heldBytes_ > limits_.heldResultBytes && held_.size() > 1) {
+      DropHeld(held_.begin()->first);
+    }
+    // Starting first lets the occupancy in the result's header be true.
+    StartWhatFits(aNow);
+    SendToOwner(task.owner, std::move(result));
+    return;
+  }
+  StartWhatFits(aNow);
+}
+
+void
+AgentCore::OnTick(MonotonicTime aNow)
+{
+  RefuseForbidden(aNow);
+  StartWhatFits(aNow);
+  gate_.Expire(aNow);
+  std::erase_if(started_, [this](const auto& aItem) {
+    return !aItem.second.running && !gate_.HasStarted(aItem.first);
+  });
+  while (!held_.empty() && held_.begin()->second.expires <= aNow) {
+    DropHeld(held_.begin()->first);
+  }
+}
+
+void
+AgentCore::BeginStop(MonotonicTime aNow)
+{
+  gate_.BeginStop();
+  RefuseForbidden(aNow);
+}
+
+void
+AgentCore::StartWhatFits(MonotonicTime aNow)
+{
+  auto next = queue_.begin();
+  while (next != queue_.end() && gate_.HasSlot()) {
+    auto reason = gate_.Start(RequestOf(next->second), aNow);
+    if (reason == RefusalReason::SetAside) {
+      // It waits for its turn as a trial.
+      return;
+    }
+    auto task = std::move(next->second);
+    waiting_.erase(task.start.key);
+    next = queue_.erase(next);
+    if (reason != RefusalReason::None) {
+      Refuse(task.sender, task.start.key, reason);
+      continue;
+    }
+    started_.emplace(
+      task.start.key,
+      StartedTask{ task.sender, task.sender, task.deadline, true, 0 });
+    port_.RunOnUpstream(task.start, task.deadline);
+  }
+}
+
+void
+AgentCore::RefuseForbidden(MonotonicTime aNow)
+{
+  for (auto next = queue_.begin(); next != queue_.end();) {
+    auto reason = gate_.Check(RequestOf(next->second), aNow);
+    if (reason == RefusalReason::None) {
+      ++next;
+      continue;
+    }
+    auto task = std::move(next->second);
+    waiting_.erase(task.start.key);
+    next = queue_.erase(next);
+    Refuse(task.sender, task.start.key, reason);
+  }
+}
+
+void
+AgentCore::Refuse(const EntryIdentity& aOwner,
+                  const protocol::TaskKey& aKey,
+                  RefusalReason aReason)
+{
+  port_.CountRefusal(aReason);
+  protocol::TaskResult result;
+  result.key = aKey;
+  result.code = ResultCode::NotStarted;
+  result.reason = aReason;
+  SendToOwner(aOwner, std::move(result));
+}
+
+void
+AgentCore::SendToOwner(const EntryIdentity& aOwner, protocol::Message aMessage)
+{
+  auto session = sessions_.find(aOwner.entry);
+  if (session == sessions_.end() ||
+      session->second.incarnation != aOwner.incarnation) {
+    return;
+  }
+  port_.SendToEntry(aOwner.entry, std::move(aMessage));
+}
+
+void
+AgentCore::DropHeld(std::uint64_t aNumber)
+{
+  auto held = held_.find(aNumber);
+  if (held == held_.end()) {
+    return;
+  }
+  heldBytes_ -= held->second.result.payload.size();
+  held_.erase(held);
+}
+
+GateRequest
+AgentCore::RequestOf(const QueuedTask& aTask) const
+{
+  return { aTask.start.key,
+           aTask.sender,
+           aTask.deadline,
+           aTask.start.demand,
+           aTask.start.claimed };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/AgentPort.h
@@ -0,0 +1,28 @@
+#ifndef Libraries_LibDispatch_AgentPort_h
+#define Libraries_LibDispatch_AgentPort_h
+
+#include "LibCore/Ids.h"
+#include "LibCore/Time.h"
+#include "LibProtocol/Message.h"
+#include "LibProtocol/Start.h"
+
+namespace vanillaworks::dispatch {
+
+/** What an AgentCore does to the world; called on the core's thread. */
+class AgentPort
+{
+public:
+  virtual ~AgentPort() = default;
+
+  /** Hands a task that the gate has marked as started to the upstream. */
+  virtual void RunOnUpstream(const protocol::Start& aTask,
+                             MonotonicTime aDeadline) = 0;
+  /** Best effort: a lost link is seen by the core as OnLinkDown. */
+  virtual void SendToEntry(const EntryId& aEntry,
+                           protocol::Message aMessage) = 0;
+  virtual void CountRefusal(protocol::RefusalReason aReason) = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibDispatch/Answer.h
@@ -0,0 +1,36 @@
+#ifndef Libraries_LibDispatch_Answer_h
+#define Libraries_LibDispatch_Answer_h
+
+#include "LibCore/Ids.h"
+#include "LibDispatch/AnswerReason.h"
+#include "LibDispatch/AnswerState.h"
+
+#include <string>
+#include <vector>
+
+namespace vanillaworks::dispatch {
+
+/** One task's part of a complete answer. */
+struct TaskAnswer
+{
+  TaskId id;
+  std::string payload;
+
+  friend bool operator==(const TaskAnswer&, const TaskAnswer&) = default;
+};
+
+/** What the caller gets: every task's result or none. */
+struct Answer
+{
+  SubmissionId submission;
+  AnswerState state = AnswerState::Failed;
+  AnswerReason reason = AnswerReason::None;
+  /** In the order of the request; empty unless the state is Complete. */
+  std::vector<TaskAnswer> tasks;
+
+  friend bool operator==(const Answer&, const Answer&) = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibDispatch/ConfigurationHolder.cpp
@@ -0,0 +1,27 @@
+#include "LibDispatch/ConfigurationHolder.h"
+
+namespace vanillaworks::dispatch {
+
+ConfigurationHolder::ConfigurationHolder()
+{
+  // Version 0 is what holds before any operator has decided anything.
+  ConfigurationDocument initial;
+  initial.text = "{}";
+  current_ = std::make_shared<const ConfigurationDocument>(std::move(initial));
+}
+
+Adoption
+ConfigurationHolder::Adopt(ConfigurationDocument aDocument)
+{
+  auto next =
+    std::make_shared<const ConfigurationDocument>(std::move(aDocument));
+  auto current = Current();
+  while (next->version > current->version) {
+    if (current_.compare_exchange_weak(current, next)) {
+      return Adoption::Adopted;
+    }
+  }
+  return Adoption::NotNewer;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/RandomRouting.cpp
@@ -0,0 +1,26 @@
+#include "LibDispatch/RandomRouting.h"
+
+#include <vector>
+
+namespace vanillaworks::dispatch {
+
+std::optional<UpstreamId>
+RandomRouting::Choose(const TaskNeeds& aNeeds,
+                      const UpstreamDirectory& aDirectory,
+                      const ConfigurationDocument& aConfiguration,
+                      MonotonicTime aNow)
+{
+  std::vector<UpstreamId> permitted;
+  for (const auto& [upstream, record] : aDirectory.All()) {
+    if (UpstreamDirectory::IsEligible(record, aNeeds, aConfiguration, aNow)) {
+      permitted.push_back(upstream);
+    }
+  }
+  if (permitted.empty()) {
+    return {};
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, permitted.size() - 1);
+  return permitted[pick(generator_)];
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/RandomRouting.h
@@ -0,0 +1,31 @@
+#ifndef Libraries_LibDispatch_RandomRouting_h
+#define Libraries_LibDispatch_RandomRouting_h
+
+#include "LibDispatch/RoutingPolicy.h"
+
+#include <cstdint>
+#include <random>
+
+namespace vanillaworks::dispatch {
+
+/** The naive policy: any permitted upstream, however loaded. */
+class RandomRouting final : public RoutingPolicy
+{
+public:
+  explicit RandomRouting(std::uint64_t aSeed)
+    : generator_(aSeed)
+  {
+  }
+
+  std::optional<UpstreamId> Choose(const TaskNeeds& aNeeds,
+                                   const UpstreamDirectory& aDirectory,
+                                   const ConfigurationDocument& aConfiguration,
+                                   MonotonicTime aNow) override;
+
+private:
+  std::mt19937_64 generator_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibDispatch/RetryBudget.cpp
@@ -0,0 +1,23 @@
+#include "LibDispatch/RetryBudget.h"
+
+#include <algorithm>
+
+namespace vanillaworks::dispatch {
+
+void
+RetryBudget::OnFreshWork()
+{
+  tokens_ = std::min(burst_, tokens_ + share_);
+}
+
+RetryDecision
+RetryBudget::Take()
+{
+  if (tokens_ < 1.0) {
+    return RetryDecision::BudgetSpent;
+  }
+  tokens_ -= 1.0;
+  return RetryDecision::Allowed;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/SpeedEstimate.h
@@ -0,0 +1,34 @@
+#ifndef Libraries_LibDispatch_SpeedEstimate_h
+#define Libraries_LibDispatch_SpeedEstimate_h
+
+#include "LibCore/Time.h"
+
+#include <cstdint>
+
+namespace vanillaworks::dispatch {
+
+/** A moving average of how long a kind of work takes. Not thread safe. */
+class SpeedEstimate
+{
+public:
+  void Add(Microseconds aService)
+  {
+    constexpr double kSteadyWeight = 0.05;
+    ++samples_;
+    double weight = 1.0 / static_cast<double>(samples_);
+    weight = weight > kSteadyWeight ? weight : kSteadyWeight;
+    mean_ += (static_cast<double>(aService.count()) - mean_) * weight;
+  }
+
+  std::uint64_t Samples() const { return samples_; }
+  /** Microseconds; 0 before the first sample. */
+  double Mean() const { return mean_; }
+
+private:
+  double mean_ = 0;
+  std::uint64_t samples_ = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibDispatch/StartGate.cpp
@@ -0,0 +1,131 @@
+#include "LibDispatch/StartGate.h"
+
+#include <algorithm>
+
+namespace vanillaworks::dispatch {
+
+using protocol::RefusalReason;
+
+StartGate::StartGate(UpstreamId aUpstream,
+                     FailureDomainId aDomain,
+                     GateLimits aLimits,
+                     const ConfigurationHolder& aConfiguration)
+  : upstream_(std::move(aUpstream))
+  , domain_(std::move(aDomain))
+  , limits_(aLimits)
+  , configuration_(aConfiguration)
+{
+}
+
+RefusalReason
+StartGate::Check(const GateRequest& aRequest, MonotonicTime aNow) const
+{
+  if (started_.contains(aRequest.key)) {
+    return RefusalReason::Duplicate;
+  }
+  if (IsFenced(aRequest.sender)) {
+    return RefusalReason::Fenced;
+  }
+  if (aRequest.deadline <= aNow) {
+    return RefusalReason::DeadlinePassed;
+  }
+  if (IsConfigurationStale(aNow)) {
+    return RefusalReason::ConfigurationStale;
+  }
+  auto configuration = configuration_.Current();
+  if (configuration->IsClosed(domain_)) {
+    return RefusalReason::DomainClosed;
+  }
+  if (stopping_ || configuration->IsLeaving(upstream_)) {
+    return RefusalReason::UpstreamLeaving;
+  }
+  // A takeover asks just the agents that the table lists, so a claimed task
+  // may only start where it would be found.
+  if (aRequest.claimed && !registered_) {
+    return RefusalReason::NotRegistered;
+  }
+  if (!limits_.capacity.Fits(aRequest.demand)) {
+    return RefusalReason::DoesNotFit;
+  }
+  return RefusalReason::None;
+}
+
+RefusalReason
+StartGate::Start(const GateRequest& aRequest, MonotonicTime aNow)
+{
+  auto reason = Check(aRequest, aNow);
+  if (reason != RefusalReason::None) {
+    return reason;
+  }
+  if (!HasSlot()) {
+    return RefusalReason::QueueFull;
+  }
+  if (streak_.IsSetAside() && !streak_.TakeTrial(aNow)) {
+    return RefusalReason::SetAside;
+  }
+  started_.emplace(aRequest.key, true);
+  expiries_.push({ aRequest.deadline + limits_.retention, aRequest.key });
+  ++running_;
+  return RefusalReason::None;
+}
+
+void
+StartGate::End(const protocol::TaskKey& aKey)
+{
+  auto found = started_.find(aKey);
+  if (found == started_.end() || !found->second) {
+    return;
+  }
+  found->second = false;
+  --running_;
+}
+
+void
+StartGate::OnVouched(ConfigurationVersion aVersion, MonotonicTime aWhen)
+{
+  if (aVersion != configuration_.Current()->version) {
+    return;
+  }
+  vouchedAt_ = vouchedAt_ ? std::max(*vouchedAt_, aWhen) : aWhen;
+}
+
+void
+StartGate::FenceIncarnation(const EntryIdentity& aIdentity)
+{
+  auto& fence = fences_[aIdentity.entry];
+  fence = std::max(fence, aIdentity.incarnation);
+}
+
+bool
+StartGate::IsFenced(const EntryIdentity& aIdentity) const
+{
+  auto fence = fences_.find(aIdentity.entry);
+  return fence != fences_.end() && aIdentity.incarnation <= fence->second;
+}
+
+bool
+StartGate::IsConfigurationStale(MonotonicTime aNow) const
+{
+  return !vouchedAt_ || aNow - *vouchedAt_ > limits_.maxConfigurationAge;
+}
+
+void
+StartGate::Expire(MonotonicTime aNow)
+{
+  while (!expiries_.empty() && expiries_.top().when <= aNow) {
+    auto found = started_.find(expiries_.top().key);
+    if (found != started_.end() && found->second) {
+      // It runs on past its deadline: look again one retention later.
+      auto key = expiries_.top().key;
+      expiries_.pop();
+      expiries_.push({ aNow + limits_.retention, key });
+      continue;
+    }
+    if (found != started_.end()) {
+      started_.erase(found);
+    }
+    expiries_.pop();
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLink/LinkId.h
@@ -0,0 +1,15 @@
+#ifndef Libraries_LibLink_LinkId_h
+#define Libraries_LibLink_LinkId_h
+
+#include "LibCore/Strong.h"
+
+#include <cstdint>
+
+namespace vanillaworks::link {
+
+/** Numbers the links of one process; never used twice. */
+using LinkId = Strong<std::uint64_t, struct LinkIdTag>;
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -0,0 +1,95 @@
+#include "LibPlatform/HttpClient.h"
+
+#include <curl/curl.h>
+
+namespace vanillaworks::platform {
+
+struct HttpClient::Handle
+{
+  CURL* curl = nullptr;
+  curl_slist* headers = nullptr;
+};
+
+namespace {
+std::size_t
+AppendToBody(char* aData, std::size_t aSize, std::size_t aCount, void* aBody)
+{
+  static_cast<std::string*>(aBody)->append(aData, aSize * aCount);
+  return aSize * aCount;
+}
+}
+
+HttpClient::HttpClient(Milliseconds aTimeout)
+  : handle_(std::make_unique<Handle>())
+  , timeout_(aTimeout)
+{
+  handle_->curl = curl_easy_init();
+  handle_->headers =
+    curl_slist_append(nullptr, "Content-Type: application/json");
+  // Without this curl waits for a "100 Continue" before a larger body.
+  handle_->headers = curl_slist_append(handle_->headers, "Expect:");
+}
+
+HttpClient::~HttpClient()
+{
+  curl_slist_free_all(handle_->headers);
+  curl_easy_cleanup(handle_->curl);
+}
+
+Result<HttpReply, TableError>
+HttpClient::Get(const std::string& aUrl)
+{
+  return Perform(aUrl, "GET", nullptr);
+}
+
+Result<HttpReply, TableError>
+HttpClient::Post(const std::string& aUrl, const std::string& aBody)
+{
+  return Perform(aUrl, "POST", &aBody);
+}
+
+Result<HttpReply, TableError>
+HttpClient::Put(const std::string& aUrl, const std::string& aBody)
+{
+  return Perform(aUrl, "PUT", &aBody);
+}
+
+Result<HttpReply, TableError>
+HttpClient::Delete(const std::string& aUrl)
+{
+  return Perform(aUrl, "DELETE", nullptr);
+}
+
+Result<HttpReply, TableError>
+HttpClient::Perform(const std::string& aUrl,
+                    const char* aMethod,
+                    const std::string* aBody)
+{
+  auto* curl = handle_->curl;
+  HttpReply reply;
+  curl_easy_reset(curl);
+  curl_easy_setopt(curl, CURLOPT_URL, aUrl.c_str());
+  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, aMethod);
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, handle_->headers);
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(
+    curl, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_.count()));
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendToBody);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
+  if (aBody) {
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, aBody->data());
+    curl_easy_setopt(
+      curl, CURLOPT_POSTFIELDSIZE, static_cast<long>(aBody->size()));
+  }
+  auto code = curl_easy_perform(curl);
+  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
+    return Failure{ TableError::NotSent };
+  }
+  if (code != CURLE_OK) {
+    return Failure{ TableError::AnswerLost };
+  }
+  curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.status);
+  return reply;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -0,0 +1,27 @@
+#ifndef Libraries_LibPlatform_ObjectStore_h
+#define Libraries_LibPlatform_ObjectStore_h
+
+#include "LibCore/Result.h"
+#include "LibPlatform/TableError.h"
+
+#include <string>
+
+namespace vanillaworks::platform {
+
+/**
+ * The platform's object store; an object is written once under its name.
+ * Calls block; an instance belongs to one thread.
+ */
+class ObjectStore
+{
+public:
+  virtual ~ObjectStore() = default;
+
+  virtual Result<Success, TableError> Put(const std::string& aName,
+                                          const std::string& aBytes) = 0;
+  virtual Result<std::string, TableError> Get(const std::string& aName) = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibPlatform/PatchWriter.cpp
@@ -0,0 +1,128 @@
+#include "LibPlatform/PatchWriter.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
+
+namespace vanillaworks::platform {
+
+namespace {
+using Json = nlohmann::json;
+constexpr Milliseconds kRetryPause{ 100 };
+
+std::string
+LogKey(ConfigurationVersion aVersion)
+{
+  return "configuration_log/" + std::to_string(aVersion.Value());
+}
+
+const TableRow*
+FindRow(const std::vector<TableRow>& aRows, const std::string& aKey)
+{
+  for (const auto& row : aRows) {
+    if (row.key == aKey && row.version != kAbsent) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+TableTransaction
+TransactionFor(const dispatch::ConfigurationDocument& aNext,
+               std::uint64_t aRowVersion,
+               const std::string& aPatch,
+               const std::string& aNonce)
+{
+  Json head{ { "version", aNext.version.Value() }, { "document", aNext.text } };
+  Json log{ { "nonce", aNonce }, { "patch", aPatch } };
+  return { { { PatchWriter::kConfigurationKey, aRowVersion, head.dump(), {} },
+             { LogKey(aNext.version), kAbsent, log.dump(), {} } } };
+}
+
+bool
+IsOurs(const TableRow& aLogRow, const std::string& aNonce)
+{
+  auto json = Json::parse(aLogRow.value, nullptr, false);
+  return json.is_object() && json.value("nonce", "") == aNonce;
+}
+}
+
+Result<dispatch::ConfigurationDocument, dispatch::PatchProblem>
+PatchWriter::Decode(const std::string& aValue)
+{
+  auto json = Json::parse(aValue, nullptr, false);
+  bool isWhole = json.is_object() && json.contains("version") &&
+                 json["version"].is_number_unsigned() &&
+                 json.contains("document") && json["document"].is_string();
+  if (!isWhole) {
+    return Failure{ dispatch::PatchProblem{ dispatch::PatchProblemKind::NotJson,
+                                            "" } };
+  }
+  return dispatch::ConfigurationDocument::Parse(
+    ConfigurationVersion(json["version"].get<std::uint64_t>()),
+    json["document"].get<std::string>());
+}
+
+PatchOutcome
+PatchWriter::Apply(ConfigurationVersion aBase,
+                   const std::string& aPatch,
+                   const std::string& aNonce,
+                   MonotonicTime aUntil)
+{
+  ConfigurationVersion next(aBase.Value() + 1);
+  bool mayHaveWritten = false;
+  std::optional<dispatch::ConfigurationDocument> applied;
+  while (MonotonicNow() < aUntil) {
+    auto read = table_.Read({ { kConfigurationKey, LogKey(next) }, {} });
+    if (read.IsError()) {
+      if (!mayHaveWritten && read.Error() != TableError::AnswerLost) {
+        return PatchTableDown{};
+      }
+      std::this_thread::sleep_for(kRetryPause);
+      continue;
+    }
+    const auto& rows = read.Value().rows;
+    const auto* log = FindRow(rows, LogKey(next));
+    if (log && applied && IsOurs(*log, aNonce)) {
+      return PatchApplied{ *applied };
+    }
+    const auto* head = FindRow(rows, kConfigurationKey);
+    dispatch::ConfigurationDocument current;
+    current.text = "{}";
+    if (head) {
+      auto decoded = Decode(head->value);
+      if (decoded.IsError()) {
+        return decoded.Error();
+      }
+      current = decoded.ReleaseValue();
+    }
+    if (current.version != aBase) {
+      return PatchVersionMismatch{ current.version };
+    }
+    auto patched = current.Patched(aPatch);
+    if (patched.IsError()) {
+      return patched.Error();
+    }
+    applied = patched.ReleaseValue();
+    auto transaction =
+      TransactionFor(*applied, head ? head->version : kAbsent, aPatch, aNonce);
+    auto result = table_.Transact(transaction);
+    if (!result.IsError() && result.Value().committed) {
+      return PatchApplied{ *applied };
+    }
+    if (result.IsError()) {
+      // Only an answer that was lost leaves the write open; it stays so even
+      // if a later try certainly fails.
+      bool isOpen = result.Error() == TableError::AnswerLost;
+      mayHaveWritten = mayHaveWritten || isOpen;
+      if (!mayHaveWritten) {
+        return PatchTableDown{};
+      }
+      std::this_thread::sleep_for(kRetryPause);
+    }
+  }
+  return mayHaveWritten ? PatchOutcome(PatchUnknown{})
+                        : PatchOutcome(PatchTableDown{});
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/TableRead.h
@@ -0,0 +1,26 @@
+#ifndef Libraries_LibPlatform_TableRead_h
+#define Libraries_LibPlatform_TableRead_h
+
+#include "LibPlatform/TableRow.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace vanillaworks::platform {
+
+/** One read of any number of rows, all as of one moment. */
+struct TableRead
+{
+  std::vector<std::string> keys;
+  std::vector<std::string> prefixes;
+};
+
+struct TableReadResult
+{
+  std::vector<TableRow> rows;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibProtocol/AgentHello.h
@@ -0,0 +1,39 @@
+#ifndef Libraries_LibProtocol_AgentHello_h
+#define Libraries_LibProtocol_AgentHello_h
+
+#include "LibCore/Ids.h"
+#include "LibProtocol/Capacity.h"
+
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace vanillaworks::protocol {
+
+/** Agent to entry, first on a link: the upstream announces itself. */
+struct AgentHello
+{
+  UpstreamId upstream;
+  Incarnation incarnation;
+  FailureDomainId domain;
+  std::vector<TaskKind> kinds;
+  std::uint32_t slots = 0;
+  Capacity capacity;
+  /** Set once an entry has entered this incarnation in the table. */
+  bool registered = false;
+  /** Set once the upstream takes no new work for good. */
+  bool stopping = false;
+
+  MSGPACK_DEFINE_ARRAY(upstream,
+                       incarnation,
+                       domain,
+                       kinds,
+                       slots,
+                       capacity,
+                       registered,
+                       stopping)
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibService/EventLoop.h
@@ -0,0 +1,65 @@
+#ifndef Libraries_LibService_EventLoop_h
+#define Libraries_LibService_EventLoop_h
+
+#include "LibCore/Time.h"
+#include "LibService/Forward.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace vanillaworks::service {
+
+/**
+ * A thread's loop over sockets, timers and functions that other threads post
+ * (libevent). Except for Post(), all calls come from the loop's own thread,
+ * or before Run().
+ */
+class EventLoop
+{
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  event_base* Base() { return base_; }
+
+  /** Runs the function on the loop's thread, soon. Thread safe. */
+  void Post(std::function<void()> aFunction);
+  void RunEvery(Milliseconds aInterval, std::function<void()> aFunction);
+  void RunAfter(Milliseconds aDelay, std::function<void()> aFunction);
+  /** Runs the function on SIGTERM and SIGINT in place of ending. */
+  void OnStopSignal(std::function<void()> aFunction);
+
+  void Run();
+  void Stop();
+
+private:
+  friend struct LoopCallbacks;
+  struct Timer
+  {
+    EventLoop* loop;
+    event* handle;
+    std::function<void()> function;
+    bool repeats;
+  };
+
+  void AddTimer(Milliseconds aDelay,
+                bool aRepeats,
+                std::function<void()> aFunction);
+  void RunPosted();
+
+  event_base* base_;
+  event* wake_;
+  std::vector<event*> signals_;
+  std::vector<std::unique_ptr<Timer>> timers_;
+  std::function<void()> onStop_;
+  std::mutex mutex_;
+  std::vector<std::function<void()>> posted_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibService/Forward.h
@@ -0,0 +1,18 @@
+#ifndef Libraries_LibService_Forward_h
+#define Libraries_LibService_Forward_h
+
+struct event;
+struct event_base;
+
+namespace vanillaworks::service {
+
+class EventLoop;
+class HttpHandler;
+class HttpReplier;
+class HttpServer;
+class Metrics;
+struct HttpRequest;
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibService/HttpServer.h
@@ -0,0 +1,51 @@
+#ifndef Libraries_LibService_HttpServer_h
+#define Libraries_LibService_HttpServer_h
+
+#include "LibCore/Result.h"
+#include "LibService/HttpHandler.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace vanillaworks::service {
+
+enum class HttpServerError : std::uint8_t
+{
+  BadAddress,
+  CannotBind
+};
+
+struct HttpServerOptions
+{
+  /** "host:port" with a numeric host. */
+  std::string address;
+  int threads = 1;
+  std::size_t maxRequestBytes = std::size_t{ 4 } * 1024 * 1024;
+};
+
+/** HTTP towards callers and operators (Pistache). */
+class HttpServer
+{
+public:
+  /** The handler must outlive the server. */
+  static Result<std::unique_ptr<HttpServer>, HttpServerError> Create(
+    const HttpServerOptions& aOptions,
+    HttpHandler& aHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /** Ends the threads; what was not answered is cut. Idempotent. */
+  void Stop();
+
+private:
+  struct Endpoint;
+  explicit HttpServer(std::unique_ptr<Endpoint> aEndpoint);
+
+  std::unique_ptr<Endpoint> endpoint_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibService/Metrics.h
@@ -0,0 +1,38 @@
+#ifndef Libraries_LibService_Metrics_h
+#define Libraries_LibService_Metrics_h
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+#include <string_view>
+
+namespace vanillaworks::service {
+
+/** A process's metrics. All methods are thread safe. */
+class Metrics
+{
+public:
+  Metrics();
+
+  /** Names and help stand in MetricsCatalogue.h; unknown ones are a bug. */
+  prometheus::Counter& Counter(std::string_view aName,
+                               const std::string& aLabel = {},
+                               const std::string& aValue = {});
+  prometheus::Gauge& Gauge(std::string_view aName);
+  prometheus::Histogram& Latency(std::string_view aName);
+
+  /** The text exposition format of Prometheus, version 0.0.4. */
+  std::string Text() const;
+
+private:
+  std::shared_ptr<prometheus::Registry> registry_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/LibService/MetricsCatalogue.h
@@ -0,0 +1,39 @@
+#ifndef Libraries_LibService_MetricsCatalogue_h
+#define Libraries_LibService_MetricsCatalogue_h
+
+#include <string_view>
+
+namespace vanillaworks::service {
+
+struct MetricDescription
+{
+  std::string_view name;
+  std::string_view help;
+};
+
+/** Every metric of both programs; docs/OPERATING.md lists the same rows. */
+inline constexpr MetricDescription kMetrics[] = {
+  { "vanillaworks_answers_total", "answers to callers, by state" },
+  { "vanillaworks_refusals_total", "refusals, by reason" },
+  { "vanillaworks_retries_total", "tasks placed again, by reason" },
+  { "vanillaworks_starts_total", "tasks handed to an agent or upstream" },
+  { "vanillaworks_in_flight", "tasks accepted and not ended" },
+  { "vanillaworks_queued", "tasks that wait to be placed or started" },
+  { "vanillaworks_remembered", "submissions or starts in memory" },
+  { "vanillaworks_links", "links that are up" },
+  { "vanillaworks_frames_sent_total", "frames sent to our processes" },
+  { "vanillaworks_frames_received_total", "frames got from our processes" },
+  { "vanillaworks_bytes_sent_total", "bytes of frames sent" },
+  { "vanillaworks_bytes_received_total", "bytes of frames got" },
+  { "vanillaworks_control_frames_total", "frames sent that carry no task" },
+  { "vanillaworks_bad_frames_total", "frames that could not be decoded" },
+  { "vanillaworks_table_errors_total", "table calls without an answer" },
+  { "vanillaworks_table_pending", "operations that wait for the table" },
+  { "vanillaworks_configuration_version", "configuration version in force" },
+  { "vanillaworks_takeovers_total", "submissions taken over" },
+  { "vanillaworks_answer_seconds", "time from request to answer" },
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Meta/vanillaworks.sh
@@ -0,0 +1,70 @@
+#!/usr/bin/env bash
+# Sets up, builds, runs, checks and measures vanillaworks.
+#   Meta/vanillaworks.sh run [--keep]   a small deployment, from start to stop
+#   Meta/vanillaworks.sh test           all tests through CTest
+#   Meta/vanillaworks.sh lint           formatter and linter
+#   Meta/vanillaworks.sh measure ...    see docs/MEASUREMENTS.md
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+usage() {
+  sed -n '2,6p' "$0" | sed 's/^# \{0,1\}//'
+  exit 2
+}
+
+install_packages() {
+  local missing=()
+  while read -r package; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null \
+      | grep -q 'install ok installed' || missing+=("$package")
+  done < Meta/packages.txt
+  if [ "${#missing[@]}" -gt 0 ]; then
+    echo "installing: ${missing[*]}"
+    apt-get update -q
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -q "${missing[@]}"
+  fi
+}
+
+build() { # folder, then options for CMake
+  local folder=$1
+  shift
+  cmake -S . -B "$folder" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache \
+    "$@" > /dev/null
+  ninja -C "$folder" --quiet
+}
+
+lint() {
+  install_packages
+  build Build
+  git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run -Werror
+  git ls-files '*.cpp' \
+    | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p Build 2> /dev/null
+  echo "lint: clean"
+}
+
+run_tests() {
+  install_packages
+  build Build
+  ctest --test-dir Build --output-on-failure "$@"
+}
+
+case "${1:-}" in
+  run)
+    install_packages
+    build Build
+    shift
+    exec Meta/run-sample.sh "$@"
+    ;;
+  test)
+    shift
+    run_tests "$@"
+    ;;
+  lint) lint ;;
+  measure)
+    install_packages
+    build Build
+    shift
+    exec Build/Utilities/vanillaworks-measure "$@"
+    ;;
+  *) usage ;;
+esac
--- /dev/null
+++ b/Services/Agent/Main.cpp
@@ -0,0 +1,90 @@
+#include "LibCore/Log.h"
+#include "LibService/EventLoop.h"
+#include "LibService/SettingsReport.h"
+#include "Services/Agent/AgentApp.h"
+#include "Services/Agent/HttpUpstream.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <iostream>
+#include <sstream>
+
+namespace {
+using namespace vanillaworks;
+namespace po = boost::program_options;
+
+constexpr int kExitUsage = 2;
+
+int
+Serve(agent::AgentSettings aSettings)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  Log::SetFormat(aSettings.logFormat);
+  Log::SetProcessName("agent/" + aSettings.identity.upstream.Value());
+  curl_global_init(CURL_GLOBAL_ALL);
+  service::EventLoop loop;
+  agent::HttpUpstream upstream(
+    loop, aSettings.upstreamUrl, aSettings.connections);
+  agent::AgentApp app(std::move(aSettings), loop, upstream);
+  loop.OnStopSignal([&app] { app.BeginStop(); });
+  if (!app.Start()) {
+    fmt::print(stderr, "can't open the pages' address\n");
+    return EXIT_FAILURE;
+  }
+  loop.Run();
+  Log::Write(Event::ProcessStopped);
+  return EXIT_SUCCESS;
+}
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  po::options_description options("vanillaworks-agent, the process beside an "
+                                  "upstream\n\nOptions");
+  options.add_options()("help", "print this text and end")(
+    "version", "print the version and end")(
+    "settings", po::value<std::string>(), "the settings file (required)")(
+    "check-settings", "check the settings file and end");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, options), values);
+  } catch (const po::error& error) {
+    fmt::print(stderr, "{}\nsee --help\n", error.what());
+    return kExitUsage;
+  }
+  if (values.count("help") != 0) {
+    std::cout << options;
+    return EXIT_SUCCESS;
+  }
+  if (values.count("version") != 0) {
+    fmt::print("vanillaworks-agent {}\n", VANILLAWORKS_VERSION);
+    return EXIT_SUCCESS;
+  }
+  if (values.count("settings") == 0) {
+    fmt::print(stderr, "--settings is required; see --help\n");
+    return kExitUsage;
+  }
+  auto reader = SettingsReader::FromFile(values["settings"].as<std::string>());
+  if (reader.IsError()) {
+    service::ReportIssues({ reader.Error() });
+    return kExitUsage;
+  }
+  auto settings = agent::AgentSettings::Read(reader.ReleaseValue());
+  if (settings.IsError()) {
+    service::ReportIssues(settings.Error());
+    return kExitUsage;
+  }
+  if (values.count("check-settings") != 0) {
+    fmt::print("the settings are valid\n");
+    return EXIT_SUCCESS;
+  }
+  auto valid = settings.ReleaseValue();
+  // A restarted agent is another incarnation, and a later one is larger.
+  valid.identity.incarnation = Incarnation(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<Microseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count()));
+  return Serve(std::move(valid));
+}
--- /dev/null
+++ b/Services/Entry/Main.cpp
@@ -0,0 +1,126 @@
+#include "LibCore/Log.h"
+#include "LibService/EventLoop.h"
+#include "LibService/SettingsReport.h"
+#include "Services/Entry/EntryApp.h"
+#include "Services/Entry/OperatorCommands.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <iostream>
+
+namespace {
+using namespace vanillaworks;
+namespace po = boost::program_options;
+
+constexpr int kExitUsage = 2;
+
+int
+Serve(entry::EntrySettings aSettings)
+{
+  Log::SetFormat(aSettings.logFormat);
+  Log::SetProcessName("entry/" + aSettings.entry.Value());
+  service::EventLoop loop;
+  entry::EntryApp app(std::move(aSettings), loop);
+  loop.OnStopSignal([&app] { app.BeginStop(); });
+  if (!app.Start()) {
+    fmt::print(stderr, "can't open a listening address\n");
+    return EXIT_FAILURE;
+  }
+  loop.Run();
+  Log::Write(Event::ProcessStopped);
+  return EXIT_SUCCESS;
+}
+
+int
+ServeFromFile(const std::string& aPath, bool aOnlyCheck)
+{
+  auto reader = SettingsReader::FromFile(aPath);
+  if (reader.IsError()) {
+    service::ReportIssues({ reader.Error() });
+    return kExitUsage;
+  }
+  auto settings = entry::EntrySettings::Read(reader.ReleaseValue());
+  if (settings.IsError()) {
+    service::ReportIssues(settings.Error());
+    return kExitUsage;
+  }
+  if (aOnlyCheck) {
+    fmt::print("the settings are valid\n");
+    return EXIT_SUCCESS;
+  }
+  return Serve(settings.ReleaseValue());
+}
+
+int
+RunCommand(const po::variables_map& aValues)
+{
+  auto words = aValues["command"].as<std::vector<std::string>>();
+  entry::OperatorCall call;
+  call.command = words.front();
+  call.arguments.assign(words.begin() + 1, words.end());
+  call.url = aValues["url"].as<std::string>();
+  call.format = aValues.count("json") != 0 ? entry::OutputFormat::Json
+                                           : entry::OutputFormat::Readable;
+  if (!entry::IsOperatorCommand(call.command)) {
+    fmt::print(stderr,
+               "there is no command '{}'\n{}",
+               call.command,
+               entry::OperatorCommandsHelp());
+    return kExitUsage;
+  }
+  return entry::RunOperatorCommand(call);
+}
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  po::options_description options("vanillaworks-entry, the process on an "
+                                  "entry host\n\nOptions");
+  options.add_options()("help", "print this text and end")(
+    "version", "print the version and end")(
+    "settings", po::value<std::string>(), "serve with this settings file")(
+    "check-settings", "check the settings file and end")(
+    "url",
+    po::value<std::string>()->default_value("http://127.0.0.1:8080"),
+    "an entry's HTTP address, for commands")("json",
+                                             "print commands' answers as JSON")(
+    "command",
+    po::value<std::vector<std::string>>(),
+    "a command and its arguments");
+  po::positional_options_description positional;
+  positional.add("command", -1);
+  po::variables_map values;
+  try {
+    po::store(po::command_line_parser(aCount, aArguments)
+                .options(options)
+                .positional(positional)
+                .run(),
+              values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    fmt::print(stderr, "{}\nsee --help\n", error.what());
+    return kExitUsage;
+  }
+  if (values.count("help") != 0) {
+    std::cout << options << "\n" << entry::OperatorCommandsHelp();
+    return EXIT_SUCCESS;
+  }
+  if (values.count("version") != 0) {
+    fmt::print("vanillaworks-entry {}\n", VANILLAWORKS_VERSION);
+    return EXIT_SUCCESS;
+  }
+  curl_global_init(CURL_GLOBAL_ALL);
+  if (values.count("command") != 0) {
+    return RunCommand(values);
+  }
+  if (values.count("settings") == 0) {
+    fmt::print(stderr, "--settings or a command is required; see --help\n");
+    return kExitUsage;
+  }
+  return ServeFromFile(values["settings"].as<std::string>(),
+                       values.count("check-settings") != 0);
+}
--- /dev/null
+++ b/Tests/StandIns/Main.cpp
@@ -0,0 +1,74 @@
+#include "Tests/StandIns/Relay.h"
+#include "Tests/StandIns/TableStandIn.h"
+#include "Tests/StandIns/UpstreamStandIn.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <event2/event.h>
+#include <iostream>
+#include <optional>
+
+namespace {
+namespace po = boost::program_options;
+using namespace vanillaworks;
+
+constexpr int kExitUsage = 2;
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  po::options_description options("Stand-ins for tests: one role a process");
+  options.add_options()("help", "print this text and end")(
+    "role", po::value<std::string>(), "table, upstream or relay")(
+    "listen", po::value<std::string>(), "host:port")(
+    "target", po::value<std::string>()->default_value(""), "relay: host:port")(
+    "control",
+    po::value<std::string>()->default_value(""),
+    "relay: host:port of its control")(
+    "delay-us", po::value<std::int64_t>()->default_value(0), "relay: each way")(
+    "speed",
+    po::value<double>()->default_value(1),
+    "upstream: 2 is twice as fast");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, options), values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n";
+    return kExitUsage;
+  }
+  if (values.count("help") != 0 || values.count("role") == 0 ||
+      values.count("listen") == 0) {
+    std::cout << options;
+    return kExitUsage;
+  }
+  auto role = values["role"].as<std::string>();
+  auto listen = values["listen"].as<std::string>();
+  auto* base = event_base_new();
+  std::optional<standins::TableStandIn> table;
+  std::optional<standins::UpstreamStandIn> upstream;
+  std::optional<standins::Relay> relay;
+  bool isListening = false;
+  if (role == "table") {
+    isListening = table.emplace(base, listen).IsListening();
+  } else if (role == "upstream") {
+    isListening = upstream.emplace(base, listen, values["speed"].as<double>())
+                    .IsListening();
+  } else if (role == "relay") {
+    isListening =
+      relay
+        .emplace(base,
+                 listen,
+                 values["target"].as<std::string>(),
+                 values["control"].as<std::string>(),
+                 Microseconds(values["delay-us"].as<std::int64_t>()))
+        .IsListening();
+  }
+  if (!isListening) {
+    std::cerr << "can't listen on " << listen << "\n";
+    return EXIT_FAILURE;
+  }
+  event_base_dispatch(base);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/Tests/System/Deployment.cpp
@@ -0,0 +1,395 @@
+#include "Tests/System/Deployment.h"
+
+#include "LibCore/Time.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <netinet/in.h>
+#include <set>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace vanillaworks::system {
+
+namespace {
+constexpr Milliseconds kCallTimeout{ 120'000 };
+const std::string kHost = "127.0.0.1:";
+
+std::optional<nlohmann::json>
+Parse(const Result<platform::HttpReply, platform::TableError>& aReply,
+      long* aStatus = nullptr)
+{
+  if (aReply.IsError()) {
+    return {};
+  }
+  if (aStatus) {
+    *aStatus = aReply.Value().status;
+  }
+  auto body = nlohmann::json::parse(aReply.Value().body, nullptr, false);
+  if (body.is_discarded()) {
+    return {};
+  }
+  return body;
+}
+}
+
+Deployment::Deployment(DeploymentOptions aOptions)
+  : options_(std::move(aOptions))
+  , programs_(VANILLAWORKS_PROGRAMS)
+  , tablePort_(FreePort())
+{
+  curl_global_init(CURL_GLOBAL_ALL);
+  auto pattern =
+    (std::filesystem::temp_directory_path() / "vanillaworks-XXXXXX").string();
+  directory_ = ::mkdtemp(pattern.data());
+  for (std::size_t i = 0; i < options_.entries; ++i) {
+    httpPorts_.push_back(FreePort());
+    linkPorts_.push_back(FreePort());
+  }
+  auto standIns = programs_ + "/Tests/StandIns/vanillaworks-standins";
+  table_ = std::make_unique<Process>(
+    std::vector<std::string>{ standIns,
+                              "--role=table",
+                              "--listen=" + kHost +
+                                std::to_string(tablePort_) },
+    LogPath("table"));
+  entries_.resize(options_.entries);
+  upstreams_.resize(options_.upstreams);
+  agents_.resize(options_.upstreams);
+  for (std::size_t i = 0; i < options_.upstreams; ++i) {
+    upstreamPorts_.push_back(FreePort());
+    relayPorts_.emplace_back();
+    relayControls_.emplace_back();
+    for (std::size_t j = 0; options_.relays && j < options_.entries; ++j) {
+      relayPorts_[i].push_back(FreePort());
+      relayControls_[i].push_back(FreePort());
+      relays_.push_back(std::make_unique<Process>(
+        std::vector<std::string>{
+          standIns,
+          "--role=relay",
+          "--listen=" + kHost + std::to_string(relayPorts_[i][j]),
+          "--target=" + kHost + std::to_string(linkPorts_[j]),
+          "--control=" + kHost + std::to_string(relayControls_[i][j]),
+          "--delay-us=" + std::to_string(options_.relayDelayMicroseconds) },
+        LogPath("relay")));
+    }
+    StartUpstream(i);
+  }
+  for (std::size_t i = 0; i < options_.entries; ++i) {
+    StartEntry(i);
+  }
+  for (std::size_t i = 0; i < options_.upstreams; ++i) {
+    StartAgent(i);
+  }
+}
+
+Deployment::~Deployment()
+{
+  agents_.clear();
+  entries_.clear();
+  upstreams_.clear();
+  relays_.clear();
+  table_.reset();
+  if (std::getenv("VANILLAWORKS_KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    (void)std::filesystem::remove_all(directory_, ignored);
+  }
+}
+
+std::string
+Deployment::LogPath(const std::string& aName) const
+{
+  return directory_ / (aName + ".log");
+}
+
+std::string
+Deployment::WriteSettings(const std::string& aName, const Json& aSettings)
+{
+  auto path = directory_ / (aName + ".json");
+  std::ofstream(path) << aSettings.dump(2);
+  return path;
+}
+
+std::string
+Deployment::UpstreamName(std::size_t aUpstream) const
+{
+  return "runner-" + std::to_string(aUpstream);
+}
+
+std::string
+Deployment::DomainOf(std::size_t aUpstream) const
+{
+  return options_.domains[aUpstream % options_.domains.size()];
+}
+
+void
+Deployment::StartEntry(std::size_t aEntry)
+{
+  auto name = "entry-" + std::to_string(aEntry);
+  Json settings{ { "entry", name },
+                 { "http_address", kHost + std::to_string(httpPorts_[aEntry]) },
+                 { "link_address", kHost + std::to_string(linkPorts_[aEntry]) },
+                 { "table_url",
+                   "http://" + kHost + std::to_string(tablePort_) } };
+  settings.merge_patch(options_.entrySettings);
+  entries_[aEntry] = std::make_unique<Process>(
+    std::vector<std::string>{ programs_ + "/Services/Entry/vanillaworks-entry",
+                              "--settings=" + WriteSettings(name, settings) },
+    LogPath(name));
+}
+
+void
+Deployment::StartUpstream(std::size_t aUpstream)
+{
+  double speed =
+    aUpstream < options_.speeds.size() ? options_.speeds[aUpstream] : 1.0;
+  upstreams_[aUpstream] = std::make_unique<Process>(
+    std::vector<std::string>{
+      programs_ + "/Tests/StandIns/vanillaworks-standins",
+      "--role=upstream",
+      "--listen=" + kHost + std::to_string(upstreamPorts_[aUpstream]),
+      fmt::format("--speed={}", speed) },
+    LogPath("upstream"));
+}
+
+void
+Deployment::StartAgent(std::size_t aUpstream)
+{
+  auto name = "agent-" + std::to_string(aUpstream);
+  Json settings{ { "upstream", UpstreamName(aUpstream) },
+                 { "failure_domain", DomainOf(aUpstream) },
+                 { "kinds", { "count" } },
+                 { "slots", options_.slots },
+                 { "connections", 64 },
+                 { "cores", 64 },
+                 { "memory_mb", 262144 },
+                 { "upstream_url", UpstreamUrl(aUpstream) },
+                 { "entries", Json::array() } };
+  for (std::size_t i = 0; i < options_.entries; ++i) {
+    auto port = options_.relays ? relayPorts_[aUpstream][i] : linkPorts_[i];
+    settings["entries"].push_back(kHost + std::to_string(port));
+  }
+  if (options_.relays) {
+    settings["learn_entries"] = false;
+  }
+  settings.merge_patch(options_.agentSettings);
+  agents_[aUpstream] = std::make_unique<Process>(
+    std::vector<std::string>{ programs_ + "/Services/Agent/vanillaworks-agent",
+                              "--settings=" + WriteSettings(name, settings) },
+    LogPath(name));
+}
+
+std::string
+Deployment::EntryUrl(std::size_t aEntry) const
+{
+  return "http://" + kHost + std::to_string(httpPorts_[aEntry]);
+}
+
+std::string
+Deployment::UpstreamUrl(std::size_t aUpstream) const
+{
+  return "http://" + kHost + std::to_string(upstreamPorts_[aUpstream]);
+}
+
+bool
+Deployment::WaitUntilReady(int aSeconds)
+{
+  return WaitFor(
+    [this] {
+      for (std::size_t i = 0; i < options_.entries; ++i) {
+        auto upstreams = Get(i, "/v1/upstreams");
+        if (!upstreams || !upstreams->contains("upstreams") ||
+            (*upstreams)["upstreams"].size() != options_.upstreams) {
+          return false;
+        }
+        for (const auto& upstream : (*upstreams)["upstreams"]) {
+          if (upstream["state"] != "in_service") {
+            return false;
+          }
+        }
+        auto configuration = Get(i, "/v1/configuration");
+        if (!configuration || !(*configuration)["fresh"].get<bool>()) {
+          return false;
+        }
+      }
+      return true;
+    },
+    aSeconds);
+}
+
+bool
+Deployment::WaitFor(const std::function<bool()>& aCondition, int aSeconds)
+{
+  auto until = MonotonicNow() + std::chrono::seconds(aSeconds);
+  while (MonotonicNow() < until) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+  return false;
+}
+
+std::optional<Deployment::Json>
+Deployment::Submit(std::size_t aEntry, const Json& aBody, long* aStatus) const
+{
+  platform::HttpClient client(kCallTimeout);
+  return Parse(client.Post(EntryUrl(aEntry) + "/v1/submissions", aBody.dump()),
+               aStatus);
+}
+
+std::optional<Deployment::Json>
+Deployment::Request(std::size_t aEntry, const Json& aBody) const
+{
+  platform::HttpClient client(kCallTimeout);
+  return Parse(client.Post(EntryUrl(aEntry) + "/v1/requests", aBody.dump()));
+}
+
+std::optional<Deployment::Json>
+Deployment::Get(std::size_t aEntry, const std::string& aPath) const
+{
+  platform::HttpClient client(Milliseconds(3000));
+  return Parse(client.Get(EntryUrl(aEntry) + aPath));
+}
+
+std::optional<Deployment::Json>
+Deployment::Patch(std::size_t aEntry,
+                  std::uint64_t aBase,
+                  const Json& aPatch,
+                  long* aStatus) const
+{
+  platform::HttpClient client(kCallTimeout);
+  Json body{ { "base_version", aBase }, { "patch", aPatch } };
+  return Parse(
+    client.Post(EntryUrl(aEntry) + "/v1/configuration/patches", body.dump()),
+    aStatus);
+}
+
+std::uint64_t
+Deployment::Version(std::size_t aEntry) const
+{
+  auto configuration = Get(aEntry, "/v1/configuration");
+  return configuration ? (*configuration)["version"].get<std::uint64_t>() : 0;
+}
+
+double
+Deployment::Metric(std::size_t aEntry, const std::string& aLine) const
+{
+  platform::HttpClient client(Milliseconds(3000));
+  auto reply = client.Get(EntryUrl(aEntry) + "/metrics");
+  if (reply.IsError()) {
+    return 0;
+  }
+  auto start = reply.Value().body.find("\n" + aLine + " ");
+  return start == std::string::npos
+           ? 0
+           : std::stod(reply.Value().body.substr(start + aLine.size() + 2));
+}
+
+void
+Deployment::ControlTable(const Json& aBody) const
+{
+  platform::HttpClient client(Milliseconds(3000));
+  (void)client.Post("http://" + kHost + std::to_string(tablePort_) + "/control",
+                    aBody.dump());
+}
+
+void
+Deployment::ControlUpstream(std::size_t aUpstream, const Json& aBody) const
+{
+  platform::HttpClient client(Milliseconds(3000));
+  (void)client.Post(UpstreamUrl(aUpstream) + "/control", aBody.dump());
+}
+
+void
+Deployment::ControlRelay(std::size_t aUpstream,
+                         std::size_t aEntry,
+                         const std::string& aMode) const
+{
+  platform::HttpClient client(Milliseconds(3000));
+  auto port = relayControls_[aUpstream][aEntry];
+  (void)client.Post("http://" + kHost + std::to_string(port) + "/control",
+                    Json{ { "mode", aMode } }.dump());
+}
+
+std::vector<StartRecord>
+Deployment::Records() const
+{
+  std::vector<StartRecord> all;
+  platform::HttpClient client(Milliseconds(10'000));
+  for (std::size_t i = 0; i < options_.upstreams; ++i) {
+    auto reply = Parse(client.Get(UpstreamUrl(i) + "/records"));
+    if (!reply) {
+      continue;
+    }
+    for (const auto& record : *reply) {
+      all.push_back({ UpstreamName(i),
+                      record[0].get<std::string>(),
+                      record[1].get<std::uint32_t>(),
+                      record[2].get<std::int64_t>(),
+                      record[3].get<std::int64_t>() });
+    }
+  }
+  return all;
+}
+
+std::size_t
+Deployment::StartedTwice() const
+{
+  std::set<std::pair<std::string, std::uint32_t>> seen;
+  std::size_t twice = 0;
+  for (const auto& record : Records()) {
+    twice += seen.emplace(record.submission, record.task).second ? 0 : 1;
+  }
+  return twice;
+}
+
+Deployment::Json
+Deployment::Job(const std::string& aId,
+                std::size_t aTasks,
+                int aMilliseconds,
+                int aDeadlineSeconds)
+{
+  auto deadline = WallNow() + std::chrono::seconds(aDeadlineSeconds);
+  Json job{ { "submission_id", aId },
+            { "team", "tills" },
+            { "deadline_ms", deadline.time_since_epoch().count() },
+            { "tasks", Json::array() } };
+  for (std::size_t i = 0; i < aTasks; ++i) {
+    job["tasks"].push_back({ { "id", "t" + std::to_string(i) },
+                             { "kind", "count" },
+                             { "payload", std::to_string(aMilliseconds) } });
+  }
+  return job;
+}
+
+std::int64_t
+Deployment::NowMicroseconds()
+{
+  return ToMicroseconds(MonotonicNow());
+}
+
+std::uint16_t
+Deployment::FreePort()
+{
+  static std::set<std::uint16_t> sGiven;
+  while (true) {
+    int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), length);
+    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+    ::close(descriptor);
+    auto port = ntohs(address.sin_port);
+    if (sGiven.insert(port).second) {
+      return port;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/Tests/System/Main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/Tests/System/PathTest.cpp
@@ -0,0 +1,31 @@
+#include "Tests/System/Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace vanillaworks::system;
+
+TEST_CASE("a job's tasks run on several upstreams and its whole answer "
+          "comes back",
+          "[path]")
+{
+  Deployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+
+  auto answer = deployment.Submit(0, Deployment::Job("job-1", 40, 20));
+
+  REQUIRE(answer);
+  CHECK((*answer)["state"] == "complete");
+  REQUIRE((*answer)["tasks"].size() == 40);
+  for (std::size_t i = 0; i < 40; ++i) {
+    const auto& task = (*answer)["tasks"][i];
+    CHECK(task["id"] == "t" + std::to_string(i));
+    CHECK(task["payload"] == "done:job-1:" + std::to_string(i));
+  }
+  std::set<std::string> upstreams;
+  for (const auto& record : deployment.Records()) {
+    upstreams.insert(record.upstream);
+  }
+  CHECK(upstreams.size() > 1);
+  CHECK(deployment.StartedTwice() == 0);
+}
