--- a/Services/Entry/ControlWorker.cpp
+++ b/Services/Entry/ControlWorker.cpp
@@ -109,10 +109,13 @@
 ControlWorker::Run()
 {
   while (true) {
+    bool wasMember = isMember_;
     Poll();
     ForgetMembers();
     std::unique_lock lock(mutex_);
-    if (!ending_) {
+    // What other entries decide counts only once this one has a row, so the
+    // first rows are read again at once.
+    if (!ending_ && wasMember == isMember_) {
       wake_.wait_for(lock, options_.poll);
     }
     if (ending_) {
@@ -185,6 +188,7 @@
   std::scoped_lock lock(mutex_);
   bool isCurrent = options_.incarnation == incarnation;
   if (isCurrent && !result.IsError() && result.Value().committed) {
+    isMember_ = true;
     lastRenewal_ = MonotonicNow();
   }
 }
--- a/Services/Entry/ControlWorker.h
+++ b/Services/Entry/ControlWorker.h
@@ -72,6 +72,8 @@
   OnSnapshot onSnapshot_;
   MonotonicTime lastRenewal_;
   std::uint64_t renewals_ = 0;
+  /** Whether the own row was written by this process. */
+  bool isMember_ = false;
   std::mutex mutex_;
   std::condition_variable wake_;
   std::vector<dispatch::MemberRow> forget_;
--- a/Services/Entry/EntryApi.cpp
+++ b/Services/Entry/EntryApi.cpp
@@ -153,11 +153,13 @@
 
 ApiReply
 ReplyForConfiguration(const dispatch::ConfigurationDocument& aDocument,
-                      bool aFresh)
+                      const VersionStanding& aStanding)
 {
   return { kStatusOk,
            Dump({ { "version", aDocument.version.Value() },
-                  { "fresh", aFresh },
+                  { "fresh", aStanding.isFresh },
+                  { "entries", aStanding.entries },
+                  { "entries_with_version", aStanding.entriesWithVersion },
                   { "document", Json::parse(aDocument.text) } }) };
 }
 
--- a/Services/Entry/EntryApi.h
+++ b/Services/Entry/EntryApi.h
@@ -20,6 +20,15 @@
   std::string body;
 };
 
+/** What an entry knows of its configuration's standing. */
+struct VersionStanding
+{
+  /** Whether it vouches that no newer version is in force. */
+  bool isFresh;
+  std::size_t entries;
+  std::size_t entriesWithVersion;
+};
+
 struct PatchRequest
 {
   ConfigurationVersion base;
@@ -41,7 +50,7 @@
 ReplyForDecisions(const dispatch::Submission& aSubmission);
 ApiReply
 ReplyForConfiguration(const dispatch::ConfigurationDocument& aDocument,
-                      bool aFresh);
+                      const VersionStanding& aStanding);
 ApiReply
 ReplyForUpstreams(const dispatch::UpstreamDirectory& aDirectory,
                   const dispatch::ConfigurationDocument& aDocument,
--- a/Services/Entry/EntryApp.cpp
+++ b/Services/Entry/EntryApp.cpp
@@ -440,9 +440,11 @@
   }
   if (isGet && path == "/v1/configuration") {
     return loop_.Post([this, replier = std::move(aReplier)] {
-      Send(replier,
-           ReplyForConfiguration(*configuration_.Current(),
-                                 links_.IsFresh(MonotonicNow())));
+      auto current = configuration_.Current();
+      VersionStanding standing{ links_.IsFresh(MonotonicNow()),
+                                links_.Members(),
+                                links_.MembersWith(current->version) };
+      Send(replier, ReplyForConfiguration(*current, standing));
     });
   }
   if (isGet && path == "/v1/upstreams") {
--- a/Tests/System/Deployment.cpp
+++ b/Tests/System/Deployment.cpp
@@ -211,7 +211,10 @@
           }
         }
         auto configuration = Get(i, "/v1/configuration");
-        if (!configuration || !(*configuration)["fresh"].get<bool>()) {
+        bool isSettled =
+          configuration && (*configuration)["fresh"].get<bool>() &&
+          (*configuration)["entries_with_version"] == options_.entries;
+        if (!isSettled) {
           return false;
         }
       }
