--- a/Libraries/LibDispatch/AgentCore.cpp
+++ b/Libraries/LibDispatch/AgentCore.cpp
@@ -159,6 +159,7 @@
   }
   QueueOrder order{ aStart.rank, nextQueued_++ };
   waiting_.emplace(aStart.key, order);
+  ++workFor_[aEntry];
   queue_.emplace(order, std::move(task));
 }
 
@@ -197,6 +198,7 @@
     auto sender = queued->second.sender;
     queue_.erase(queued);
     waiting_.erase(waiting);
+    --workFor_[sender.entry];
     Refuse(sender, key, RefusalReason::Cancelled);
   }
 }
@@ -258,6 +260,7 @@
       gate_.Streak().OnFailure(aKey.submission, aNow);
     }
     auto& task = started->second;
+    --workFor_[task.sender.entry];
     task.running = false;
     task.result = nextResult_++;
     protocol::TaskResult result{
@@ -313,6 +316,7 @@
     waiting_.erase(task.start.key);
     next = queue_.erase(next);
     if (reason != RefusalReason::None) {
+      --workFor_[task.sender.entry];
       Refuse(task.sender, task.start.key, reason);
       continue;
     }
@@ -335,6 +339,7 @@
     auto task = std::move(next->second);
     waiting_.erase(task.start.key);
     next = queue_.erase(next);
+    --workFor_[task.sender.entry];
     Refuse(task.sender, task.start.key, reason);
   }
 }
--- a/Libraries/LibDispatch/AgentCore.h
+++ b/Libraries/LibDispatch/AgentCore.h
@@ -66,6 +66,13 @@
   /** Nothing runs, waits or awaits acknowledgement. */
   bool IsDrained() const { return IsIdle() && held_.empty(); }
 
+  /** Whether a task that the entry sent waits or runs here. */
+  bool HasWorkFor(const EntryId& aEntry) const
+  {
+    auto found = workFor_.find(aEntry);
+    return found != workFor_.end() && found->second != 0;
+  }
+
   std::uint32_t Occupancy() const
   {
     return gate_.Running() + static_cast<std::uint32_t>(queue_.size());
@@ -147,6 +154,8 @@
   std::unordered_map<protocol::TaskKey, QueueOrder> waiting_;
   std::unordered_map<protocol::TaskKey, StartedTask> started_;
   std::map<std::uint64_t, HeldResult> held_;
+  /** By entry: tasks that wait or run, whoever gets their results. */
+  std::unordered_map<EntryId, std::uint32_t> workFor_;
   std::size_t heldBytes_ = 0;
   std::uint64_t nextQueued_ = 0;
   std::uint64_t nextResult_ = 1;
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -313,6 +313,19 @@
   }
   record->linkUp = false;
   record->downSince = aNow;
+  // A repeatable request need not wait for news of its first try.
+  std::vector<protocol::TaskKey> repeatable;
+  for (const auto& [key, team] : record->outstanding) {
+    const auto* submission = FindRunning(key);
+    if (submission && !submission->IsClaimed()) {
+      repeatable.push_back(key);
+    }
+  }
+  for (const auto& key : repeatable) {
+    TakeOutstanding(*record, key);
+    LoseTask(key, aNow);
+  }
+  PlaceReady(aNow);
 }
 
 void
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -26,7 +26,7 @@
 struct DispatcherLimits
 {
   /** How long a lost agent may take to come back before its tasks are lost. */
-  Milliseconds agentGrace{ 5000 };
+  Milliseconds agentGrace{ 8000 };
   /** How long a takeover waits for agents that do not answer. */
   Milliseconds takeoverPatience{ 4000 };
   /** How long an ended submission stays in memory. */
--- a/Libraries/LibDispatch/StartGate.h
+++ b/Libraries/LibDispatch/StartGate.h
@@ -66,6 +66,9 @@
   /** aWhen: the latest time at which the current version was vouched for. */
   void OnVouched(ConfigurationVersion aVersion, MonotonicTime aWhen);
 
+  /** Nothing before the first time. */
+  std::optional<MonotonicTime> VouchedAt() const { return vouchedAt_; }
+
   /** Refuses this and older incarnations from now on. */
   void FenceIncarnation(const EntryIdentity& aIdentity);
   bool IsFenced(const EntryIdentity& aIdentity) const;
--- a/Libraries/LibDispatch/VersionFreshness.h
+++ b/Libraries/LibDispatch/VersionFreshness.h
@@ -28,6 +28,11 @@
   /** aStarted: when the read that returned the newest version was sent. */
   void OnTableRead(MonotonicTime aStarted);
 
+  bool IsTableReadWithin(Milliseconds aAge, MonotonicTime aNow) const
+  {
+    return tableRead_ && aNow - *tableRead_ <= aAge;
+  }
+
   /** aMembers: all entries with a row in the table, this one included. */
   void SetMembers(std::set<EntryId> aMembers);
 
--- a/Libraries/LibProtocol/Message.h
+++ b/Libraries/LibProtocol/Message.h
@@ -16,6 +16,8 @@
 #include "LibProtocol/TaskResult.h"
 #include "LibProtocol/Welcome.h"
 
+#include <array>
+#include <string>
 #include <variant>
 
 namespace vanillaworks::protocol {
@@ -36,6 +38,29 @@
                              Registered,
                              EntryList>;
 
+/** The type's name, for metrics. Thread safe. */
+inline std::string
+MessageName(const Message& aMessage)
+{
+  constexpr std::array<const char*, std::variant_size_v<Message>> kNames{
+    "heartbeat",
+    "agent_hello",
+    "entry_hello",
+    "welcome",
+    "start",
+    "task_result",
+    "cancel",
+    "fence",
+    "fence_report",
+    "reconcile",
+    "configuration_update",
+    "goodbye",
+    "registered",
+    "entry_list"
+  };
+  return kNames[aMessage.index()];
+}
+
 }
 
 #endif
--- a/Services/Agent/AgentApp.cpp
+++ b/Services/Agent/AgentApp.cpp
@@ -33,7 +33,6 @@
   , core_(settings_.identity, settings_.limits, configuration_, *this)
   , hub_(aLoop.Base(), {}, *this)
   , starts_(metrics_.Counter("vanillaworks_starts_total"))
-  , controlFrames_(metrics_.Counter("vanillaworks_control_frames_total"))
 {
 }
 
@@ -132,6 +131,7 @@
       Session session;
       session.address = address;
       session.dialledAt = aNow;
+      session.awaitingSince = aNow;
       session.lastReceived = aNow;
       sessions_.emplace(*linkId, std::move(session));
     }
@@ -142,24 +142,54 @@
 AgentApp::Beat(MonotonicTime aNow)
 {
   for (auto& [linkId, session] : sessions_) {
-    if (aNow - session.lastReceived > settings_.silence) {
+    auto quiet = aNow - session.lastReceived;
+    bool isWorking = core_.HasWorkFor(session.entry);
+    // News is awaited on a link that carries work, or where it was asked for.
+    bool isAwaiting = isWorking || session.lastHeartbeat > session.lastReceived;
+    if (!isAwaiting) {
+      session.awaitingSince = aNow;
+    }
+    bool isSilent =
+      isAwaiting &&
+      std::min(quiet, aNow - session.awaitingSince) > settings_.workSilence;
+    if (isSilent || quiet > settings_.silence) {
       Log::Write(Event::LinkSilent, { { "address", session.address } });
       session.lastReceived = aNow;
       hub_.Close(linkId);
       continue;
     }
-    if (session.entry.Value().empty()) {
-      continue;
-    }
-    // Work that went both ways lately has carried the same news.
-    auto proven = FromMicroseconds(session.echoed);
-    bool isDue = aNow - proven >= settings_.heartbeat &&
-                 aNow - session.lastHeartbeat >= settings_.heartbeat / 2;
-    if (isDue) {
+    auto interval = isWorking ? settings_.heartbeat : settings_.idleHeartbeat;
+    bool isDue = quiet >= interval && aNow - session.lastHeartbeat >= interval;
+    if (!session.entry.Value().empty() && isDue) {
       session.lastHeartbeat = aNow;
       SendOn(linkId, protocol::Heartbeat{ true });
     }
   }
+  KeepFresh(aNow);
+}
+
+void
+AgentApp::KeepFresh(MonotonicTime aNow)
+{
+  auto vouched = core_.Gate().VouchedAt();
+  auto maxAge = settings_.limits.gate.maxConfigurationAge;
+  bool isFresh = vouched && aNow - *vouched < maxAge * 3 / 5;
+  if (isFresh || aNow - lastFreshnessAsked_ < settings_.heartbeat / 2) {
+    return;
+  }
+  lastFreshnessAsked_ = aNow;
+  // One entry is enough as long as it answers; when it did not, all are asked.
+  bool asksAll = !vouched || aNow - *vouched > maxAge * 4 / 5;
+  auto next = byEntry_.upper_bound(askedLast_);
+  if (next == byEntry_.end()) {
+    next = byEntry_.begin();
+  }
+  for (const auto& [entry, linkId] : byEntry_) {
+    if (asksAll || entry == next->first) {
+      askedLast_ = entry;
+      SendOn(linkId, protocol::Heartbeat{ true });
+    }
+  }
 }
 
 protocol::Header
@@ -182,7 +212,13 @@
     return;
   }
   if (!CarriesTask(aMessage)) {
-    controlFrames_.Increment();
+    auto& counter = controlFrames_[aMessage.index()];
+    if (!counter) {
+      counter = &metrics_.Counter("vanillaworks_control_frames_total",
+                                  "type",
+                                  protocol::MessageName(aMessage));
+    }
+    counter->Increment();
   }
   hub_.Send(aLink, { MakeHeader(session->second), std::move(aMessage) });
 }
--- a/Services/Agent/AgentApp.h
+++ b/Services/Agent/AgentApp.h
@@ -60,6 +60,8 @@
     /** Our latest send time that the entry has echoed. */
     std::int64_t echoed = 0;
     MonotonicTime lastHeartbeat;
+    /** Since when a frame from the entry has been due. */
+    MonotonicTime awaitingSince;
   };
   struct Target
   {
@@ -71,6 +73,8 @@
   void OnTick();
   void DialMissing(MonotonicTime aNow);
   void Beat(MonotonicTime aNow);
+  /** Asks entries to vouch for the version before it gets too old. */
+  void KeepFresh(MonotonicTime aNow);
   void SendOn(link::LinkId aLink, protocol::Message aMessage);
   protocol::Header MakeHeader(const Session& aSession) const;
   void OnWelcome(link::LinkId aLink,
@@ -88,11 +92,14 @@
   service::Metrics metrics_;
   std::array<prometheus::Counter*, 16> refusals_{};
   prometheus::Counter& starts_;
-  prometheus::Counter& controlFrames_;
+  std::array<prometheus::Counter*, std::variant_size_v<protocol::Message>>
+    controlFrames_{};
   std::unique_ptr<service::HttpServer> pages_;
   std::map<link::LinkId, Session> sessions_;
   std::map<EntryId, link::LinkId> byEntry_;
   std::map<std::string, Target> targets_;
+  MonotonicTime lastFreshnessAsked_;
+  EntryId askedLast_;
   MonotonicTime stopAt_;
   bool stopping_ = false;
   std::atomic<bool> ready_{ false };
--- a/Services/Agent/AgentSettings.cpp
+++ b/Services/Agent/AgentSettings.cpp
@@ -45,10 +45,19 @@
   settings.pagesAddress = aReader.GetString("pages_address", "");
   settings.heartbeat = aReader.GetMilliseconds(
     "heartbeat_ms", settings.heartbeat, { 50, kMaxMilliseconds });
+  settings.idleHeartbeat = aReader.GetMilliseconds(
+    "idle_heartbeat_ms", settings.idleHeartbeat, { 50, kMaxMilliseconds });
+  settings.workSilence = aReader.GetMilliseconds(
+    "work_silence_ms", settings.workSilence, { 100, kMaxMilliseconds });
   settings.silence = aReader.GetMilliseconds(
     "silence_ms", settings.silence, { 100, kMaxMilliseconds });
-  if (settings.silence < settings.heartbeat * 2) {
-    aReader.Contradiction("silence_ms", "must be at least twice heartbeat_ms");
+  if (settings.workSilence < settings.heartbeat * 2) {
+    aReader.Contradiction("work_silence_ms",
+                          "must be at least twice heartbeat_ms");
+  }
+  if (settings.silence < settings.idleHeartbeat * 2) {
+    aReader.Contradiction("silence_ms",
+                          "must be at least twice idle_heartbeat_ms");
   }
   auto& limits = settings.limits;
   limits.gate.slots = identity.slots;
--- a/Services/Agent/AgentSettings.h
+++ b/Services/Agent/AgentSettings.h
@@ -26,7 +26,10 @@
   /** Empty: no pages for liveness, readiness and metrics. */
   std::string pagesAddress;
   Milliseconds heartbeat{ 1000 };
-  Milliseconds silence{ 3000 };
+  Milliseconds idleHeartbeat{ 5000 };
+  /** When a link counts as silent, while it carries work and else. */
+  Milliseconds workSilence{ 2500 };
+  Milliseconds silence{ 12'000 };
   Milliseconds stopBound{ 30'000 };
   LogFormat logFormat = LogFormat::Text;
 
--- a/Services/Entry/EntryApp.cpp
+++ b/Services/Entry/EntryApp.cpp
@@ -290,6 +290,14 @@
   dispatcher_.OnAgentDown(aUpstream, MonotonicNow());
 }
 
+bool
+EntryApp::HasOutstanding(const UpstreamId& aUpstream) const
+{
+  const auto& all = dispatcher_.Upstreams().All();
+  auto record = all.find(aUpstream);
+  return record != all.end() && !record->second.outstanding.empty();
+}
+
 void
 EntryApp::OnConfigurationAdopted()
 {
--- a/Services/Entry/EntryApp.h
+++ b/Services/Entry/EntryApp.h
@@ -60,6 +60,7 @@
   void OnAgentFrame(const UpstreamId& aUpstream,
                     const protocol::Frame& aFrame) override;
   void OnAgentDown(const UpstreamId& aUpstream) override;
+  bool HasOutstanding(const UpstreamId& aUpstream) const override;
   void OnConfigurationAdopted() override;
 
   void OnRequest(service::HttpRequest aRequest,
--- a/Services/Entry/EntryLinks.cpp
+++ b/Services/Entry/EntryLinks.cpp
@@ -27,7 +27,6 @@
   , configuration_(aConfiguration)
   , metrics_(aMetrics)
   , listener_(aListener)
-  , controlFrames_(aMetrics.Counter("vanillaworks_control_frames_total"))
   , hub_(aBase, {}, *this)
   , freshness_(aSettings.entry)
 {
@@ -91,7 +90,13 @@
                  protocol::Message aMessage)
 {
   if (!CarriesTask(aMessage)) {
-    controlFrames_.Increment();
+    auto& counter = controlFrames_[aMessage.index()];
+    if (!counter) {
+      counter = &metrics_.Counter("vanillaworks_control_frames_total",
+                                  "type",
+                                  protocol::MessageName(aMessage));
+    }
+    counter->Increment();
   }
   hub_.Send(aLink, { MakeHeader(aSession), std::move(aMessage) });
 }
@@ -193,20 +198,47 @@
 {
   DialPeers(aNow);
   for (auto& [linkId, session] : sessions_) {
-    if (aNow - session.lastReceived > settings_.silence) {
-      Log::Write(Event::LinkSilent,
-                 { { "upstream", session.upstream.Value() },
-                   { "entry", session.entry.Value() } });
-      session.lastReceived = aNow;
-      hub_.Close(linkId);
-      continue;
-    }
-    bool isPeer = !session.entry.Value().empty();
-    if (isPeer && !session.address.empty() &&
-        aNow - session.lastHeartbeat >= settings_.heartbeat) {
-      session.lastHeartbeat = aNow;
-      Send(linkId, session, protocol::Heartbeat{ true });
-    }
+    Beat(linkId, session, aNow);
+  }
+}
+
+void
+EntryLinks::Beat(link::LinkId aLink, Session& aSession, MonotonicTime aNow)
+{
+  auto quiet = aNow - aSession.lastReceived;
+  bool isAgent = !aSession.upstream.Value().empty();
+  bool isPeer = !aSession.entry.Value().empty();
+  // An agent with work of ours, and a peer while the table does not vouch for
+  // the version, must be heard often; others only show that they live.
+  bool isUrgent =
+    isAgent ? listener_.HasOutstanding(aSession.upstream)
+            : !freshness_.IsTableReadWithin(settings_.heartbeat * 3, aNow);
+  if (!isUrgent) {
+    aSession.awaitingSince = aNow;
+  }
+  bool isSilent = isUrgent && std::min(quiet, aNow - aSession.awaitingSince) >
+                                settings_.workSilence;
+  if (isSilent || quiet > settings_.silence) {
+    Log::Write(Event::LinkSilent,
+               { { "upstream", aSession.upstream.Value() },
+                 { "entry", aSession.entry.Value() } });
+    aSession.lastReceived = aNow;
+    hub_.Close(aLink);
+    return;
+  }
+  // Agents keep idle links alive, so that entries need not.
+  bool isOurs = isUrgent || (isPeer && !aSession.address.empty());
+  auto interval = isUrgent ? settings_.heartbeat : settings_.idleHeartbeat;
+  if (isAgent) {
+    // The agent asks first, as it knows what it was sent.
+    interval = settings_.workSilence / 2;
+  }
+  auto since =
+    isPeer && isUrgent ? aNow - FromMicroseconds(aSession.echoed) : quiet;
+  bool isDue = since >= interval && aNow - aSession.lastHeartbeat >= interval;
+  if ((isAgent || isPeer) && isOurs && isDue) {
+    aSession.lastHeartbeat = aNow;
+    Send(aLink, aSession, protocol::Heartbeat{ true });
   }
 }
 
@@ -253,6 +285,7 @@
 {
   auto& session = sessions_[aLink];
   session.lastReceived = MonotonicNow();
+  session.awaitingSince = session.lastReceived;
   if (aRole == link::LinkRole::Dialled) {
     const auto& self = listener_.Self();
     Send(aLink, session, protocol::EntryHello{ self.entry, self.incarnation });
--- a/Services/Entry/EntryLinks.h
+++ b/Services/Entry/EntryLinks.h
@@ -10,6 +10,7 @@
 #include "Services/Entry/EntryLinksListener.h"
 #include "Services/Entry/EntrySettings.h"
 
+#include <array>
 #include <map>
 #include <set>
 #include <string>
@@ -82,6 +83,8 @@
     ConfigurationVersion pushedVersion;
     MonotonicTime lastReceived;
     MonotonicTime lastHeartbeat;
+    /** Since when a frame from the other end has been due. */
+    MonotonicTime awaitingSince;
     std::vector<std::uint64_t> acknowledged;
   };
 
@@ -98,6 +101,7 @@
                 const protocol::Header& aHeader);
   void LearnDocument(const protocol::ConfigurationUpdate& aUpdate);
   void Push(link::LinkId aLink, Session& aSession);
+  void Beat(link::LinkId aLink, Session& aSession, MonotonicTime aNow);
   void DialPeers(MonotonicTime aNow);
   void SetPeer(link::LinkId aLink, Session& aSession, const EntryId& aEntry);
 
@@ -105,7 +109,8 @@
   dispatch::ConfigurationHolder& configuration_;
   service::Metrics& metrics_;
   EntryLinksListener& listener_;
-  prometheus::Counter& controlFrames_;
+  std::array<prometheus::Counter*, std::variant_size_v<protocol::Message>>
+    controlFrames_{};
   link::LinkHub hub_;
   dispatch::VersionFreshness freshness_;
   std::map<link::LinkId, Session> sessions_;
--- a/Services/Entry/EntryLinksListener.h
+++ b/Services/Entry/EntryLinksListener.h
@@ -25,6 +25,8 @@
   virtual void OnAgentFrame(const UpstreamId& aUpstream,
                             const protocol::Frame& aFrame) = 0;
   virtual void OnAgentDown(const UpstreamId& aUpstream) = 0;
+  /** Whether a task's result is awaited from that agent. */
+  virtual bool HasOutstanding(const UpstreamId& aUpstream) const = 0;
   virtual void OnConfigurationAdopted() = 0;
 };
 
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -20,6 +20,8 @@
   aSettings.poll = read("poll_ms", aSettings.poll);
   aSettings.renewal = read("renewal_ms", aSettings.renewal);
   aSettings.heartbeat = read("heartbeat_ms", aSettings.heartbeat);
+  aSettings.idleHeartbeat = read("idle_heartbeat_ms", aSettings.idleHeartbeat);
+  aSettings.workSilence = read("work_silence_ms", aSettings.workSilence);
   aSettings.silence = read("silence_ms", aSettings.silence);
   aSettings.stopBound = read("stop_bound_ms", aSettings.stopBound);
   aSettings.request.maxDeadline =
@@ -31,8 +33,13 @@
     read("takeover_patience_ms", dispatcher.takeoverPatience);
   dispatcher.answerRetention =
     read("answer_retention_ms", dispatcher.answerRetention);
-  if (aSettings.silence < aSettings.heartbeat * 2) {
-    aReader.Contradiction("silence_ms", "must be at least twice heartbeat_ms");
+  if (aSettings.workSilence < aSettings.heartbeat * 2) {
+    aReader.Contradiction("work_silence_ms",
+                          "must be at least twice heartbeat_ms");
+  }
+  if (aSettings.silence < aSettings.idleHeartbeat * 2) {
+    aReader.Contradiction("silence_ms",
+                          "must be at least twice idle_heartbeat_ms");
   }
 }
 
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -39,7 +39,10 @@
   Milliseconds poll{ 1000 };
   Milliseconds renewal{ 2000 };
   Milliseconds heartbeat{ 500 };
-  Milliseconds silence{ 3000 };
+  Milliseconds idleHeartbeat{ 5000 };
+  /** When a link counts as silent, while news on it is awaited and else. */
+  Milliseconds workSilence{ 2500 };
+  Milliseconds silence{ 12'000 };
   Milliseconds stopBound{ 30'000 };
   Policy policy = Policy::Learned;
   std::uint64_t seed = 1;
--- a/Tests/StandIns/Relay.cpp
+++ b/Tests/StandIns/Relay.cpp
@@ -1,5 +1,6 @@
 #include "Tests/StandIns/Relay.h"
 
+#include <deque>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/util.h>
@@ -17,6 +18,8 @@
   Pair* pair;
   bufferevent* from;
   Side* other;
+  /** What was read and is on its way, in order. */
+  std::deque<std::string> onTheWay;
 };
 
 struct Relay::Pair
@@ -123,8 +126,8 @@
   auto pair = std::make_shared<Pair>();
   auto* from = bufferevent_socket_new(base_, aSocket, BEV_OPT_CLOSE_ON_FREE);
   auto* to = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
-  pair->client = { this, pair.get(), from, &pair->target };
-  pair->target = { this, pair.get(), to, &pair->client };
+  pair->client = { this, pair.get(), from, &pair->target, {} };
+  pair->target = { this, pair.get(), to, &pair->client, {} };
   pairs_.insert(pair);
   for (auto* side : { &pair->client, &pair->target }) {
     bufferevent_setcb(side->from,
@@ -157,13 +160,17 @@
     }
   }
   bool toTarget = &aSide == &aSide.pair->client;
-  auto write = [weak, toTarget, bytes = std::move(bytes)] {
+  aSide.onTheWay.push_back(std::move(bytes));
+  // Timers of one time may run in any order, so each takes what came first.
+  auto write = [weak, toTarget] {
     auto pair = weak.lock();
     if (!pair || pair->silent || pair->closed) {
       return;
     }
-    auto& side = toTarget ? pair->target : pair->client;
-    bufferevent_write(side.from, bytes.data(), bytes.size());
+    auto& from = toTarget ? pair->client : pair->target;
+    const auto& first = from.onTheWay.front();
+    bufferevent_write(from.other->from, first.data(), first.size());
+    from.onTheWay.pop_front();
   };
   if (delay_.count() == 0) {
     return write();
--- a/Tests/System/Deployment.cpp
+++ b/Tests/System/Deployment.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <netinet/in.h>
 #include <set>
+#include <sstream>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -61,6 +62,7 @@
   agents_.resize(options_.upstreams);
   for (std::size_t i = 0; i < options_.upstreams; ++i) {
     upstreamPorts_.push_back(FreePort());
+    pagesPorts_.push_back(FreePort());
     relayPorts_.emplace_back();
     relayControls_.emplace_back();
     for (std::size_t j = 0; options_.relays && j < options_.entries; ++j) {
@@ -175,6 +177,9 @@
   if (options_.relays) {
     settings["learn_entries"] = false;
   }
+  if (options_.agentPages) {
+    settings["pages_address"] = kHost + std::to_string(pagesPorts_[aUpstream]);
+  }
   settings.merge_patch(options_.agentSettings);
   agents_[aUpstream] = std::make_unique<Process>(
     std::vector<std::string>{ programs_ + "/Services/Agent/vanillaworks-agent",
@@ -281,15 +286,64 @@
 double
 Deployment::Metric(std::size_t aEntry, const std::string& aLine) const
 {
+  return ReadMetric(EntryUrl(aEntry), aLine);
+}
+
+double
+Deployment::AgentMetric(std::size_t aUpstream, const std::string& aLine) const
+{
+  return ReadMetric(PagesUrl(aUpstream), aLine);
+}
+
+std::map<std::string, double>
+Deployment::Metrics(std::size_t aEntry, const std::string& aName) const
+{
+  return ReadMetrics(EntryUrl(aEntry), aName);
+}
+
+std::map<std::string, double>
+Deployment::AgentMetrics(std::size_t aUpstream, const std::string& aName) const
+{
+  return ReadMetrics(PagesUrl(aUpstream), aName);
+}
+
+std::string
+Deployment::PagesUrl(std::size_t aUpstream) const
+{
+  return "http://" + kHost + std::to_string(pagesPorts_[aUpstream]);
+}
+
+std::map<std::string, double>
+Deployment::ReadMetrics(const std::string& aUrl, const std::string& aName)
+{
+  std::map<std::string, double> values;
   platform::HttpClient client(Milliseconds(3000));
-  auto reply = client.Get(EntryUrl(aEntry) + "/metrics");
+  auto reply = client.Get(aUrl + "/metrics");
   if (reply.IsError()) {
-    return 0;
+    return values;
+  }
+  std::istringstream lines(reply.Value().body);
+  for (std::string line; std::getline(lines, line);) {
+    bool isNamed =
+      line.starts_with(aName + " ") || line.starts_with(aName + "{");
+    if (!isNamed) {
+      continue;
+    }
+    auto from = line.find('"');
+    auto to = line.rfind('"');
+    auto label = from == std::string::npos
+                   ? std::string()
+                   : line.substr(from + 1, to - from - 1);
+    values[label] = std::stod(line.substr(line.rfind(' ')));
   }
-  auto start = reply.Value().body.find("\n" + aLine + " ");
-  return start == std::string::npos
-           ? 0
-           : std::stod(reply.Value().body.substr(start + aLine.size() + 2));
+  return values;
+}
+
+double
+Deployment::ReadMetric(const std::string& aUrl, const std::string& aLine)
+{
+  auto values = ReadMetrics(aUrl, aLine);
+  return values.empty() ? 0 : values.begin()->second;
 }
 
 void
--- a/Tests/System/Deployment.h
+++ b/Tests/System/Deployment.h
@@ -38,6 +38,8 @@
   /** Puts a relay between each agent and each entry. */
   bool relays = false;
   std::int64_t relayDelayMicroseconds = 0;
+  /** Opens each agent's pages, for AgentMetric(). */
+  bool agentPages = false;
   /** Merged into every entry's or agent's settings. */
   nlohmann::json entrySettings = nlohmann::json::object();
   nlohmann::json agentSettings = nlohmann::json::object();
@@ -80,6 +82,12 @@
                             long* aStatus = nullptr) const;
   std::uint64_t Version(std::size_t aEntry) const;
   double Metric(std::size_t aEntry, const std::string& aLine) const;
+  /** A metric's values by its one label. */
+  std::map<std::string, double> Metrics(std::size_t aEntry,
+                                        const std::string& aName) const;
+  std::map<std::string, double> AgentMetrics(std::size_t aUpstream,
+                                             const std::string& aName) const;
+  double AgentMetric(std::size_t aUpstream, const std::string& aLine) const;
 
   void ControlTable(const Json& aBody) const;
   void ControlUpstream(std::size_t aUpstream, const Json& aBody) const;
@@ -103,7 +111,11 @@
   std::string WriteSettings(const std::string& aName, const Json& aSettings);
   std::string LogPath(const std::string& aName) const;
   std::string UpstreamUrl(std::size_t aUpstream) const;
+  std::string PagesUrl(std::size_t aUpstream) const;
   static std::uint16_t FreePort();
+  static std::map<std::string, double> ReadMetrics(const std::string& aUrl,
+                                                   const std::string& aName);
+  static double ReadMetric(const std::string& aUrl, const std::string& aLine);
 
   DeploymentOptions options_;
   std::filesystem::path directory_;
@@ -112,6 +124,7 @@
   std::vector<std::uint16_t> httpPorts_;
   std::vector<std::uint16_t> linkPorts_;
   std::vector<std::uint16_t> upstreamPorts_;
+  std::vector<std::uint16_t> pagesPorts_;
   std::vector<std::vector<std::uint16_t>> relayPorts_;
   std::vector<std::vector<std::uint16_t>> relayControls_;
   std::unique_ptr<Process> table_;
--- a/Tests/System/SubmissionTest.cpp
+++ b/Tests/System/SubmissionTest.cpp
@@ -98,6 +98,31 @@
   CHECK(deployment.StartedTwice() == 0);
 }
 
+TEST_CASE("an entry wakes up after its job was taken over and can't learn of "
+          "it from the table",
+          "[invariant-1]")
+{
+  Deployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+  auto job = Deployment::Job("woken", 400, 600, 60);
+
+  auto first = SubmitLater(deployment, 0, job);
+  std::this_thread::sleep_for(800ms);
+  deployment.Entry(0).Signal(SIGSTOP);
+  auto second = SubmitLater(deployment, 1, job);
+  REQUIRE(Deployment::WaitFor(
+    [&] { return deployment.Metric(1, "vanillaworks_takeovers_total") >= 1; }));
+  std::this_thread::sleep_for(500ms);
+  deployment.ControlTable({ { "mode", "hang" } });
+  deployment.Entry(0).Signal(SIGCONT);
+
+  CheckWhole(second.get(), "woken", 400);
+  deployment.ControlTable({ { "mode", "up" } });
+  first.get();
+  CHECK(deployment.Records().size() == 400);
+  CHECK(deployment.StartedTwice() == 0);
+}
+
 TEST_CASE("a resubmission with another content is refused",
           "[invariant-1][api]")
 {
