LibDispatch: Let a task wait for the upstream where it ends first

Change: routing may answer that a full upstream would still end the task sooner. Each task left waiting counts as a turn there in the same walk, so a long queue still fills slow slots. Jobs get a rank by size, in powers of four. Speeds are averaged over more samples.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -13,18 +13,19 @@
 constexpr Milliseconds kMaxReadGap{ 3000 };
 /** Decisions kept of one submission; the rest of a large job is alike. */
 constexpr std::size_t kMaxDecisions = 256;
-/** Jobs of up to this many tasks go before larger ones. */
-constexpr std::size_t kSmallJobTasks = 16;
 /** Ready tasks looked at in a row that can't be placed. */
-constexpr std::uint32_t kMaxSkips = 64;
+constexpr std::uint32_t kMaxSkips = 256;
 
+/** Single requests first, then jobs, each four times larger a rank later. */
 std::uint32_t
 RankOf(const SubmissionRequest& aRequest)
 {
-  if (aRequest.tasks.size() == 1) {
-    return 0;
+  constexpr std::size_t kGrowth = 4;
+  std::uint32_t rank = 0;
+  for (std::size_t size = 1; size < aRequest.tasks.size(); size *= kGrowth) {
+    ++rank;
   }
-  return aRequest.tasks.size() <= kSmallJobTasks ? 1 : 2;
+  return rank;
 }
 
 /** Whether the same agent may take the task a little later. */
@@ -195,7 +196,7 @@
   if (fenced_) {
     return;
   }
-  PlacementPass pass{ aNow, configuration_.Current(), {}, 0 };
+  PlacementPass pass{ aNow, configuration_.Current(), {}, {}, 0 };
   ready_.VisitInOrder(
     [this, &pass](const ReadyTask& aTask) { return Place(aTask, pass); });
 }
@@ -216,16 +217,21 @@
     std::any_of(aPass.blocked.begin(),
                 aPass.blocked.end(),
                 [&needs](const auto& aNeeds) { return aNeeds.IsLike(needs); });
-  auto upstream =
-    isBlocked ? std::nullopt
-              : routing_->Choose(needs, directory_, *configuration, aPass.now);
-  if (!upstream) {
-    if (!isBlocked) {
-      aPass.blocked.push_back(needs);
-    }
+  if (isBlocked) {
+    return ++aPass.skips > kMaxSkips ? Visit::Stop : Visit::Skip;
+  }
+  auto choice = routing_->Choose(
+    needs, directory_, *configuration, aPass.waiting, aPass.now);
+  if (const auto* wait = std::get_if<WaitFor>(&choice)) {
+    ++aPass.waiting[wait->upstream];
+    return ++aPass.skips > kMaxSkips ? Visit::Stop : Visit::Skip;
+  }
+  const auto* send = std::get_if<SendNow>(&choice);
+  if (!send) {
+    aPass.blocked.push_back(needs);
     return ++aPass.skips > kMaxSkips ? Visit::Stop : Visit::Skip;
   }
-  Send(submission, aTask.key.index, *upstream, aPass.now);
+  Send(submission, aTask.key.index, send->upstream, aPass.now);
   return Visit::Take;
 }
 
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -150,6 +150,7 @@
     std::shared_ptr<const ConfigurationDocument> configuration;
     /** What found no place in this walk; its like is not tried again. */
     std::vector<TaskNeeds> blocked;
+    WaitingFor waiting;
     std::uint32_t skips;
   };
   Visit Place(const ReadyTask& aTask, PlacementPass& aPass);
--- a/Libraries/LibDispatch/LearnedRouting.h
+++ b/Libraries/LibDispatch/LearnedRouting.h
@@ -11,8 +11,9 @@
 /**
  * Sends a task where it is expected to end first, from the speed that each
  * upstream has shown for its kind of work and from what is at the agent
- * already. Where nothing has a slot free, tasks stay in the entry's queue, so
- * that the choice is made as late as possible.
+ * already. Where that is an upstream without a free slot the task stays in the
+ * entry's queue, so that the choice is made as late as possible; it counts as
+ * taking its turn there, so that a long queue still uses slow upstreams.
  */
 class LearnedRouting final : public RoutingPolicy
 {
@@ -22,10 +23,11 @@
   {
   }
 
-  std::optional<UpstreamId> Choose(const TaskNeeds& aNeeds,
-                                   const UpstreamDirectory& aDirectory,
-                                   const ConfigurationDocument& aConfiguration,
-                                   MonotonicTime aNow) override;
+  RoutingChoice Choose(const TaskNeeds& aNeeds,
+                       const UpstreamDirectory& aDirectory,
+                       const ConfigurationDocument& aConfiguration,
+                       const WaitingFor& aWaiting,
+                       MonotonicTime aNow) override;
 
 private:
   std::mt19937_64 generator_;
--- a/Libraries/LibDispatch/RandomRouting.cpp
+++ b/Libraries/LibDispatch/RandomRouting.cpp
@@ -4,10 +4,11 @@
 
 namespace vanillaworks::dispatch {
 
-std::optional<UpstreamId>
+RoutingChoice
 RandomRouting::Choose(const TaskNeeds& aNeeds,
                       const UpstreamDirectory& aDirectory,
                       const ConfigurationDocument& aConfiguration,
+                      const WaitingFor&,
                       MonotonicTime aNow)
 {
   std::vector<UpstreamId> permitted;
@@ -17,10 +18,10 @@
     }
   }
   if (permitted.empty()) {
-    return {};
+    return NoUpstream{};
   }
   std::uniform_int_distribution<std::size_t> pick(0, permitted.size() - 1);
-  return permitted[pick(generator_)];
+  return SendNow{ permitted[pick(generator_)] };
 }
 
 }
--- a/Libraries/LibDispatch/RandomRouting.h
+++ b/Libraries/LibDispatch/RandomRouting.h
@@ -17,10 +17,11 @@
   {
   }
 
-  std::optional<UpstreamId> Choose(const TaskNeeds& aNeeds,
-                                   const UpstreamDirectory& aDirectory,
-                                   const ConfigurationDocument& aConfiguration,
-                                   MonotonicTime aNow) override;
+  RoutingChoice Choose(const TaskNeeds& aNeeds,
+                       const UpstreamDirectory& aDirectory,
+                       const ConfigurationDocument& aConfiguration,
+                       const WaitingFor& aWaiting,
+                       MonotonicTime aNow) override;
 
 private:
   std::mt19937_64 generator_;
--- a/Libraries/LibDispatch/SpeedEstimate.h
+++ b/Libraries/LibDispatch/SpeedEstimate.h
@@ -13,7 +13,7 @@
 public:
   void Add(Microseconds aService)
   {
-    constexpr double kSteadyWeight = 0.05;
+    constexpr double kSteadyWeight = 0.02;
     ++samples_;
     double weight = 1.0 / static_cast<double>(samples_);
     weight = weight > kSteadyWeight ? weight : kSteadyWeight;
