LibDispatch+Tests: Mend four holes in takeovers found by a naive judge

Cause: random histories (two entries, three agents, links cut, processes killed, stopped and woken, table answers lost) against a judge that knows all showed and others: - a second takeover asked agents by the last owner's name, so what an earlier owner had started was not reported and could start again; - a result that arrived while a takeover was being resolved was acknowledged and dropped (result_lost); - a result of an ended but unrecorded submission was acknowledged at once, so that a later owner could not get it; - an agent restarted between the table's list and its report answered for its earlier life, and tasks started twice.

Change: a round names the submissions and all fences of the table; results are kept until the outcome is recorded; a round names the life of each agent that must report, and another life's report fails the submission whole.

Ruled out: the claims themselves (their own property test holds with lost answers).

--- a/Libraries/LibDispatch/AgentCore.cpp
+++ b/Libraries/LibDispatch/AgentCore.cpp
@@ -1,6 +1,7 @@
 #include "LibDispatch/AgentCore.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace vanillaworks::dispatch {
 
@@ -209,14 +210,18 @@
                    const protocol::Fence& aFence,
                    MonotonicTime aNow)
 {
-  EntryIdentity fenced{ aFence.entry, aFence.incarnation };
   EntryIdentity owner{ aFrom, aSession.incarnation };
-  gate_.FenceIncarnation(fenced);
+  for (const auto& [entry, incarnation] : aFence.fences) {
+    gate_.FenceIncarnation({ entry, incarnation });
+  }
   RefuseForbidden(aNow);
-  protocol::FenceReport report{ fenced.entry, fenced.incarnation, {}, {}, {} };
+  protocol::FenceReport report;
+  report.round = aFence.round;
+  std::unordered_set<SubmissionId> asked(aFence.submissions.begin(),
+                                         aFence.submissions.end());
   for (auto& [key, task] : started_) {
-    if (task.sender.entry != fenced.entry ||
-        task.sender.incarnation > fenced.incarnation) {
+    // Owners may have changed many times, so only the submission counts.
+    if (!asked.contains(key.submission)) {
       continue;
     }
     task.owner = owner;
--- a/Libraries/LibDispatch/ClaimOutcome.h
+++ b/Libraries/LibDispatch/ClaimOutcome.h
@@ -6,6 +6,7 @@
 #include "LibDispatch/UpstreamRow.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,7 +44,8 @@
  */
 struct ClaimTakenOver
 {
-  EntryIdentity formerOwner;
+  /** By entry: the lives that are fenced, all former owners among them. */
+  std::map<EntryId, Incarnation> fences;
   /** The table's sequence number when the submission was first claimed. */
   std::uint64_t sequence = 0;
   /** All agents that may have started something of it. */
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -302,9 +302,7 @@
 {
   for (const auto& round : rounds_) {
     if (round.waiting.contains(aUpstream)) {
-      port_.SendToAgent(
-        aUpstream,
-        protocol::Fence{ round.fenced.entry, round.fenced.incarnation });
+      port_.SendToAgent(aUpstream, round.fence);
     }
   }
   PlaceReady(aNow);
@@ -387,11 +385,7 @@
   bool isAwaited = wasOurs && progress && progress->phase == TaskPhase::Sent &&
                    progress->upstream == aUpstream;
   if (!isAwaited) {
-    // Late: its submission ended before. The agent needs not keep it.
-    if (aResult.number != 0) {
-      port_.Acknowledge(aUpstream, aResult.number);
-    }
-    return;
+    return OnUnawaitedResult(aUpstream, aResult);
   }
   if (aResult.code == ResultCode::NotStarted) {
     return OnNotStarted(*submission, record, aResult, aNow);
@@ -412,6 +406,34 @@
   OnFailed(*submission, task, aResult, aNow);
 }
 
+void
+Dispatcher::OnUnawaitedResult(const UpstreamId& aUpstream,
+                              const protocol::TaskResult& aResult)
+{
+  auto known = submissions_.find(aResult.key.submission);
+  bool isKnown = known != submissions_.end();
+  if (isKnown && known->second.phase == SubmissionPhase::TakingOver) {
+    // It ended after its agent reported it as running.
+    for (auto& round : rounds_) {
+      auto found = round.found.find(aResult.key);
+      if (found != round.found.end()) {
+        found->second = { aUpstream, FoundTask::Fate::Ended, aResult };
+      }
+    }
+    return;
+  }
+  if (aResult.number == 0) {
+    return;
+  }
+  bool isOpen = isKnown && known->second.IsClaimed() && !known->second.recorded;
+  if (isOpen) {
+    // Whoever takes the submission over before it is recorded needs it.
+    known->second.unacknowledged.emplace_back(aUpstream, aResult.number);
+    return;
+  }
+  port_.Acknowledge(aUpstream, aResult.number);
+}
+
 void
 Dispatcher::OnNotStarted(Submission& aSubmission,
                          UpstreamRecord& aRecord,
@@ -579,6 +601,7 @@
 void
 Dispatcher::OnTick(MonotonicTime aNow)
 {
+  StartRound(aNow);
   FinishRounds(aNow);
   ExpireLostAgents(aNow);
   ExpireDeadlines(aNow);
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -163,6 +164,8 @@
   void OnResult(const UpstreamId& aUpstream,
                 const protocol::TaskResult& aResult,
                 MonotonicTime aNow);
+  void OnUnawaitedResult(const UpstreamId& aUpstream,
+                         const protocol::TaskResult& aResult);
   void OnNotStarted(Submission& aSubmission,
                     UpstreamRecord& aRecord,
                     const protocol::TaskResult& aResult,
@@ -201,6 +204,7 @@
   void OnTakenOver(Submission& aSubmission,
                    const ClaimTakenOver& aTakenOver,
                    MonotonicTime aNow);
+  void StartRound(MonotonicTime aNow);
   void FinishRounds(MonotonicTime aNow);
   void ResolveTakeover(Submission& aSubmission,
                        const FenceRound& aRound,
@@ -243,7 +247,10 @@
   std::set<std::pair<MonotonicTime, SubmissionId>> deadlines_;
   std::set<std::pair<MonotonicTime, SubmissionId>> ended_;
   std::set<std::pair<MonotonicTime, SubmissionId>> unconfirmed_;
+  /** Takeovers that are waiting to be asked about together. */
+  std::optional<FenceRound> nextRound_;
   std::list<FenceRound> rounds_;
+  std::uint64_t nextRoundNumber_ = 1;
   std::size_t unfinishedTasks_ = 0;
   std::size_t waiting_ = 0;
   std::size_t unrecorded_ = 0;
--- a/Libraries/LibDispatch/DispatcherTakeover.cpp
+++ b/Libraries/LibDispatch/DispatcherTakeover.cpp
@@ -1,5 +1,7 @@
 #include "LibDispatch/Dispatcher.h"
 
+#include <algorithm>
+
 namespace vanillaworks::dispatch {
 
 void
@@ -107,41 +109,54 @@
                         MonotonicTime aNow)
 {
   aSubmission.phase = SubmissionPhase::TakingOver;
-  FenceRound round;
-  round.fenced = aTakenOver.formerOwner;
-  round.patience = aNow + limits_.takeoverPatience;
-  round.submissions.push_back(aSubmission.request.id);
-  auto configuration = configuration_.Current();
+  bool isHistoryLost = std::any_of(aTakenOver.upstreams.begin(),
+                                   aTakenOver.upstreams.end(),
+                                   [&aTakenOver](const UpstreamRow& aRow) {
+                                     return (aRow.replaced || aRow.gone) &&
+                                            aRow.sequence > aTakenOver.sequence;
+                                   });
+  if (isHistoryLost) {
+    // A life of an agent that could have started tasks is over, and what it
+    // started went with it.
+    return End(
+      aSubmission, AnswerState::MayHaveRun, AnswerReason::UpstreamLost, aNow);
+  }
+  if (!nextRound_) {
+    nextRound_.emplace();
+    nextRound_->fence.round = nextRoundNumber_++;
+  }
+  auto& fence = nextRound_->fence;
+  fence.submissions.push_back(aSubmission.request.id);
+  for (const auto& [entry, incarnation] : aTakenOver.fences) {
+    auto& newest = fence.fences[entry];
+    newest = std::max(newest, incarnation);
+  }
   for (const auto& row : aTakenOver.upstreams) {
-    bool isNewer = row.sequence > aTakenOver.sequence;
-    if ((row.replaced || row.gone) && isNewer) {
-      // A life of this agent that could have started tasks is over, and what
-      // it started went with it.
-      EndWith(aSubmission,
-              { aSubmission.request.id,
-                AnswerState::MayHaveRun,
-                AnswerReason::UpstreamLost,
-                {} },
-              aNow);
-      port_.Record(aSubmission.answer,
-                   aSubmission.request.digest,
-                   aSubmission.request.deadline);
-      return;
-    }
     if (!row.gone) {
-      round.waiting.insert(row.upstream);
+      auto& life =
+        nextRound_->waiting.try_emplace(row.upstream, row.incarnation)
+          .first->second;
+      life = std::min(life, row.incarnation);
     }
   }
-  for (const auto& upstream : round.waiting) {
+}
+
+void
+Dispatcher::StartRound(MonotonicTime aNow)
+{
+  if (!nextRound_) {
+    return;
+  }
+  rounds_.push_back(std::move(*nextRound_));
+  nextRound_.reset();
+  auto& round = rounds_.back();
+  round.patience = aNow + limits_.takeoverPatience;
+  for (const auto& [upstream, incarnation] : round.waiting) {
     auto* record = directory_.Find(upstream);
     if (record && record->linkUp) {
-      port_.SendToAgent(
-        upstream,
-        protocol::Fence{ round.fenced.entry, round.fenced.incarnation });
+      port_.SendToAgent(upstream, round.fence);
     }
   }
-  rounds_.push_back(std::move(round));
-  FinishRounds(aNow);
 }
 
 void
@@ -149,11 +164,17 @@
                           const protocol::FenceReport& aReport,
                           MonotonicTime aNow)
 {
-  EntryIdentity fenced{ aReport.entry, aReport.incarnation };
   for (auto& round : rounds_) {
-    if (round.fenced != fenced || round.waiting.erase(aUpstream) == 0) {
+    auto asked = round.waiting.find(aUpstream);
+    if (round.fence.round != aReport.round || asked == round.waiting.end()) {
       continue;
     }
+    // A later life of the agent knows nothing of what an earlier one started.
+    const auto* record = directory_.Find(aUpstream);
+    if (record->hello.incarnation != asked->second) {
+      round.isHistoryLost = true;
+    }
+    round.waiting.erase(asked);
     for (const auto& key : aReport.running) {
       round.found[key] = { aUpstream, FoundTask::Fate::Running, {} };
     }
@@ -178,7 +199,7 @@
     }
     auto finished = std::move(*round);
     round = rounds_.erase(round);
-    for (const auto& id : finished.submissions) {
+    for (const auto& id : finished.fence.submissions) {
       auto found = submissions_.find(id);
       if (found != submissions_.end() &&
           found->second.phase == SubmissionPhase::TakingOver) {
@@ -196,6 +217,10 @@
 {
   Note(aSubmission, DecisionKind::TakeoverResolved, aNow);
   aSubmission.phase = SubmissionPhase::Running;
+  if (aRound.isHistoryLost) {
+    return End(
+      aSubmission, AnswerState::MayHaveRun, AnswerReason::UpstreamLost, aNow);
+  }
   if (!aRound.waiting.empty()) {
     return End(
       aSubmission, AnswerState::MayHaveRun, AnswerReason::OwnerLost, aNow);
@@ -263,6 +288,7 @@
   self_.incarnation = aIncarnation;
   fenced_ = false;
   rounds_.clear();
+  nextRound_.reset();
   for (auto& [upstream, record] : directory_.All()) {
     record.outstanding.clear();
     record.linkUp = false;
--- a/Libraries/LibDispatch/FenceRound.h
+++ b/Libraries/LibDispatch/FenceRound.h
@@ -1,11 +1,12 @@
 #ifndef Libraries_LibDispatch_FenceRound_h
 #define Libraries_LibDispatch_FenceRound_h
 
+#include "LibCore/Ids.h"
 #include "LibCore/Time.h"
-#include "LibDispatch/EntryIdentity.h"
+#include "LibProtocol/Fence.h"
 #include "LibProtocol/FenceReport.h"
 
-#include <set>
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -26,16 +27,18 @@
 };
 
 /**
- * Asks every agent that may have started something for a fenced entry. Only
+ * Asks every agent that may have started something of some submissions. Only
  * when all have answered is what nobody names known not to have started.
  */
 struct FenceRound
 {
-  EntryIdentity fenced;
+  protocol::Fence fence;
   MonotonicTime patience;
-  std::set<UpstreamId> waiting;
+  /** Agents that have not reported, and which life of each must. */
+  std::map<UpstreamId, Incarnation> waiting;
+  /** A life that had to report is over. */
+  bool isHistoryLost = false;
   std::unordered_map<protocol::TaskKey, FoundTask> found;
-  std::vector<SubmissionId> submissions;
 };
 
 }
--- a/Libraries/LibPlatform/ClaimKeeper.cpp
+++ b/Libraries/LibPlatform/ClaimKeeper.cpp
@@ -308,7 +308,7 @@
     // The takeover took effect in an earlier round, so the agents read now
     // are all that could have been entered before it, and later ones are
     // told of the fence as they are entered.
-    dispatch::ClaimTakenOver taken{ takeOver.owner, value->firstSequence, {} };
+    dispatch::ClaimTakenOver taken{ aRound.fences, value->firstSequence, {} };
     for (const auto& [rowKey, upstream] : aRound.rows) {
       if (rowKey.starts_with(kUpstreamPrefix) && upstream.version != kAbsent) {
         if (auto decoded = DecodeUpstream(upstream)) {
--- a/Libraries/LibProtocol/Fence.h
+++ b/Libraries/LibProtocol/Fence.h
@@ -3,20 +3,26 @@
 
 #include "LibCore/Ids.h"
 
+#include <cstdint>
+#include <map>
 #include <msgpack.hpp>
+#include <vector>
 
 namespace vanillaworks::protocol {
 
 /**
- * Entry to agent: start nothing more for this and older incarnations of the
- * named entry, and report what was started for it.
+ * Entry to agent: start nothing more for these lives of entries, and report
+ * what was ever started of these submissions, whoever sent it.
  */
 struct Fence
 {
-  EntryId entry;
-  Incarnation incarnation;
+  /** Numbers the rounds of the entry that asks; the report repeats it. */
+  std::uint64_t round = 0;
+  /** By entry: this and older incarnations are fenced. */
+  std::map<EntryId, Incarnation> fences;
+  std::vector<SubmissionId> submissions;
 
-  MSGPACK_DEFINE_ARRAY(entry, incarnation)
+  MSGPACK_DEFINE_ARRAY(round, fences, submissions)
 };
 
 }
--- /dev/null
+++ b/Tests/LibCore/CatalogueTest.cpp
@@ -0,0 +1,95 @@
+#include "LibCore/EventCatalogue.h"
+#include "LibDispatch/AnswerReason.h"
+#include "LibDispatch/RequestProblem.h"
+#include "LibProtocol/RefusalReason.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace {
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(std::string(VANILLAWORKS_SOURCE) + "/" + aPath);
+  REQUIRE(file);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::set<std::string>
+FindAll(const std::string& aText, const std::regex& aPattern)
+{
+  std::set<std::string> found;
+  for (std::sregex_iterator match(aText.begin(), aText.end(), aPattern);
+       match != std::sregex_iterator();
+       ++match) {
+    found.insert((*match)[1]);
+  }
+  return found;
+}
+}
+
+TEST_CASE("the catalogue of events lists each event of the code")
+{
+  std::set<std::string> rows;
+#define VW_ROW(number, name, meaning)                                          \
+  rows.insert("| " #number " | " #name " | " meaning " |");
+  VW_FOR_EACH_EVENT(VW_ROW)
+#undef VW_ROW
+  auto page = ReadFile("docs/EVENTS.md");
+  for (const auto& row : rows) {
+    INFO(row);
+    CHECK(page.find(row) != std::string::npos);
+  }
+  std::regex pattern(R"((?:^|\n)(\| \d+ \|[^\n]*))");
+  CHECK(FindAll(page, pattern).size() == rows.size());
+}
+
+TEST_CASE("the page of the API lists each reason of the code")
+{
+  auto page = ReadFile("docs/API.md");
+  std::set<std::string> words;
+#define VW_WORD(name, word) words.insert(word);
+  VW_FOR_EACH_ANSWER_REASON(VW_WORD)
+  VW_FOR_EACH_REQUEST_PROBLEM(VW_WORD)
+#undef VW_WORD
+  for (const auto& word : words) {
+    INFO(word);
+    CHECK(page.find("`" + word + "`") != std::string::npos);
+  }
+}
+
+TEST_CASE("the operators' page lists each metric of the code")
+{
+  auto code = ReadFile("Libraries/LibService/MetricsCatalogue.h");
+  auto page = ReadFile("docs/OPERATING.md");
+  for (const auto& name :
+       FindAll(code, std::regex("\"(vanillaworks_[a-z_]+)\""))) {
+    INFO(name);
+    CHECK(page.find("`" + name + "`") != std::string::npos);
+  }
+}
+
+TEST_CASE("each example of settings shows every key that is read")
+{
+  for (const auto& [source, example] :
+       { std::pair{ "Services/Entry/EntrySettings.cpp",
+                    "Settings/entry.example.json" },
+         std::pair{ "Services/Agent/AgentSettings.cpp",
+                    "Settings/agent.example.json" } }) {
+    auto keys =
+      FindAll(ReadFile(source),
+              std::regex("(?:Require|Get|read)[A-Za-z]*\\(\\s*\"([a-z_]"
+                         "+)\""));
+    auto text = ReadFile(example);
+    CHECK(keys.size() > 10);
+    for (const auto& key : keys) {
+      INFO(key);
+      CHECK(text.find("\"" + key + "\":") != std::string::npos);
+    }
+  }
+}
--- /dev/null
+++ b/Tests/LibDispatch/StartGateTest.cpp
@@ -0,0 +1,162 @@
+#include "LibDispatch/StartGate.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace vanillaworks;
+using namespace vanillaworks::dispatch;
+using namespace std::chrono_literals;
+using protocol::RefusalReason;
+
+namespace {
+/**
+ * What a gate must forbid, written down as plainly as can be: it remembers
+ * everything for ever and looks at it all each time.
+ */
+struct NaiveGate
+{
+  std::set<protocol::TaskKey> everStarted;
+  std::set<protocol::TaskKey> running;
+  std::map<EntryId, std::uint64_t> fences;
+  bool closed = false;
+  bool leaving = false;
+  bool registered = false;
+  bool stopping = false;
+  MonotonicTime vouchedAt;
+
+  bool Permits(const GateRequest& aRequest, MonotonicTime aNow) const
+  {
+    auto fence = fences.find(aRequest.sender.entry);
+    bool isFenced = fence != fences.end() &&
+                    aRequest.sender.incarnation.Value() <= fence->second;
+    return !everStarted.contains(aRequest.key) && !isFenced && !closed &&
+           !leaving && !stopping && (registered || !aRequest.claimed) &&
+           aRequest.deadline > aNow && aNow - vouchedAt <= 3s;
+  }
+};
+}
+
+TEST_CASE("a gate starts just what the naive gate permits",
+          "[differential][invariant-1][invariant-3][invariant-7]")
+{
+  CHECK(rc::check([] {
+    constexpr std::uint32_t kSlots = 3;
+    ConfigurationHolder holder;
+    GateLimits limits;
+    limits.slots = kSlots;
+    limits.retention = 2s;
+    StartGate gate(UpstreamId("u"), FailureDomainId("d"), limits, holder);
+    NaiveGate naive;
+    MonotonicTime now{ 1000s };
+    naive.vouchedAt = now - 1h;
+    std::uint64_t version = 0;
+    auto steps = *rc::gen::inRange(1, 120);
+    for (int step = 0; step < steps; ++step) {
+      switch (*rc::gen::inRange(0, 10)) {
+        case 0:
+          now += Milliseconds(*rc::gen::inRange(0, 4000));
+          gate.Expire(now);
+          break;
+        case 1: {
+          auto age = Milliseconds(*rc::gen::inRange(0, 3000));
+          gate.OnVouched(ConfigurationVersion(version), now - age);
+          naive.vouchedAt = std::max(naive.vouchedAt, now - age);
+          break;
+        }
+        case 2: {
+          naive.closed = *rc::gen::arbitrary<bool>();
+          naive.leaving = *rc::gen::arbitrary<bool>();
+          std::string text =
+            std::string(R"({"failure_domains":{"d":{"state":")") +
+            (naive.closed ? "closed" : "open") +
+            R"("}},"upstreams":{"u":{"state":")" +
+            (naive.leaving ? "leaving" : "in_service") + R"("}}})";
+          holder.Adopt(
+            ConfigurationDocument::Parse(ConfigurationVersion(++version), text)
+              .ReleaseValue());
+          break;
+        }
+        case 3: {
+          std::uint64_t incarnation = *rc::gen::inRange(0, 4);
+          gate.FenceIncarnation({ EntryId("e"), Incarnation(incarnation) });
+          auto& fence = naive.fences[EntryId("e")];
+          fence = std::max(fence, incarnation);
+          break;
+        }
+        case 4:
+          gate.SetRegistered();
+          naive.registered = true;
+          break;
+        case 5:
+          if (!naive.running.empty()) {
+            auto key = *naive.running.begin();
+            gate.End(key);
+            naive.running.erase(key);
+          }
+          break;
+        default: {
+          GateRequest request;
+          request.key = { SubmissionId("s"),
+                          static_cast<std::uint32_t>(
+                            *rc::gen::inRange(0, 12)) };
+          request.sender = { EntryId("e"),
+                             Incarnation(*rc::gen::inRange(0, 6)) };
+          request.deadline = now + Milliseconds(*rc::gen::inRange(-50, 5000));
+          request.claimed = *rc::gen::arbitrary<bool>();
+          bool permitted =
+            naive.Permits(request, now) && naive.running.size() < kSlots;
+          // Past the retention a gate relies on the deadline, which a sender
+          // never makes later for the same task.
+          bool isForgotten = naive.everStarted.contains(request.key) &&
+                             !gate.HasStarted(request.key);
+          if (isForgotten) {
+            break;
+          }
+          bool started = gate.Start(request, now) == RefusalReason::None;
+          RC_ASSERT(started == permitted);
+          if (started) {
+            naive.everStarted.insert(request.key);
+            naive.running.insert(request.key);
+          }
+        }
+      }
+    }
+  }));
+}
+
+TEST_CASE("a worker that fails several submissions is set aside and comes "
+          "back by a trial")
+{
+  ConfigurationHolder holder;
+  GateLimits limits;
+  limits.slots = 8;
+  StartGate gate(UpstreamId("u"), FailureDomainId("d"), limits, holder);
+  MonotonicTime now{ 1000s };
+  gate.OnVouched(ConfigurationVersion(0), now);
+  auto start = [&](std::uint32_t aTask) {
+    GateRequest request;
+    request.key = { SubmissionId("job-" + std::to_string(aTask)), aTask };
+    request.deadline = now + 10s;
+    return gate.Start(request, now);
+  };
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    REQUIRE(start(i) == RefusalReason::None);
+    gate.Streak().OnFailure(SubmissionId("job-" + std::to_string(i)), now);
+  }
+  CHECK(start(10) == RefusalReason::SetAside);
+  now += 600ms;
+  CHECK(start(11) == RefusalReason::None);
+  CHECK(start(12) == RefusalReason::SetAside);
+  gate.Streak().OnSuccess();
+  CHECK(start(13) == RefusalReason::None);
+}
+
+TEST_CASE("one job that fails everywhere sets no worker aside")
+{
+  FailureStreak streak;
+  for (int i = 0; i < 100; ++i) {
+    streak.OnFailure(SubmissionId("bad-job"), MonotonicTime{ 1000s });
+  }
+  CHECK_FALSE(streak.IsSetAside());
+}
