--- a/Libraries/LibPlatform/ClaimKeeper.cpp
+++ b/Libraries/LibPlatform/ClaimKeeper.cpp
@@ -1,5 +1,7 @@
 #include "LibPlatform/ClaimKeeper.h"
 
+#include "LibPlatform/FenceRow.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -9,7 +11,6 @@
 
 namespace {
 using Json = nlohmann::json;
-constexpr const char* kFencesKey = "fences";
 constexpr const char* kUpstreamPrefix = "upstream/";
 
 template<typename... Ts>
@@ -20,31 +21,6 @@
 template<typename... Ts>
 Overloaded(Ts...) -> Overloaded<Ts...>;
 
-std::map<EntryId, Incarnation>
-DecodeFences(const std::string& aValue)
-{
-  std::map<EntryId, Incarnation> fences;
-  auto json = Json::parse(aValue, nullptr, false);
-  if (!json.is_object()) {
-    return fences;
-  }
-  for (const auto& [entry, incarnation] : json.items()) {
-    fences.emplace(EntryId(entry),
-                   Incarnation(incarnation.get<std::uint64_t>()));
-  }
-  return fences;
-}
-
-std::string
-EncodeFences(const std::map<EntryId, Incarnation>& aFences)
-{
-  Json json = Json::object();
-  for (const auto& [entry, incarnation] : aFences) {
-    json[entry.Value()] = incarnation.Value();
-  }
-  return json.dump();
-}
-
 std::string
 EncodeUpstream(const RegisterOperation& aRegister, bool aReplaced)
 {
@@ -258,13 +234,7 @@
       aOperation.onClaim(dispatch::ClaimGranted{ aOperation.self });
       return true;
     }
-    auto outcome = OutcomeOf(*value);
-    if (outcome.IsError()) {
-      aRound.objectStoreDown = true;
-      return false;
-    }
-    aOperation.onClaim(outcome.ReleaseValue());
-    return true;
+    return AnswerFrom(*value, aOperation, aRound);
   }
   aRound.Write({ key,
                  kAbsent,
@@ -283,13 +253,7 @@
     aOperation.onClaim(dispatch::ClaimMissing{});
     return true;
   }
-  auto outcome = OutcomeOf(*value);
-  if (outcome.IsError()) {
-    aRound.objectStoreDown = true;
-    return false;
-  }
-  aOperation.onClaim(outcome.ReleaseValue());
-  return true;
+  return AnswerFrom(*value, aOperation, aRound);
 }
 
 bool
@@ -321,13 +285,7 @@
     return true;
   }
   if (hasEnded || value->owner != takeOver.owner) {
-    auto outcome = OutcomeOf(*value);
-    if (outcome.IsError()) {
-      aRound.objectStoreDown = true;
-      return false;
-    }
-    aOperation.onClaim(outcome.ReleaseValue());
-    return true;
+    return AnswerFrom(*value, aOperation, aRound);
   }
   ClaimRow taken = *value;
   taken.owner = aOperation.self;
@@ -366,13 +324,7 @@
     bool isOpen = value->owner == aOperation.self && !value->answer &&
                   value->answerObject.empty();
     if (!isOpen) {
-      auto outcome = OutcomeOf(*value);
-      if (outcome.IsError()) {
-        aRound.objectStoreDown = true;
-        return false;
-      }
-      aOperation.onClaim(outcome.ReleaseValue());
-      return true;
+      return AnswerFrom(*value, aOperation, aRound);
     }
     version = row->version;
   }
@@ -437,6 +389,20 @@
     aOperation.request);
 }
 
+bool
+ClaimKeeper::AnswerFrom(const ClaimRow& aRow,
+                        TableOperation& aOperation,
+                        Round& aRound)
+{
+  auto outcome = OutcomeOf(aRow);
+  if (outcome.IsError()) {
+    aRound.objectStoreDown = true;
+    return false;
+  }
+  aOperation.onClaim(outcome.ReleaseValue());
+  return true;
+}
+
 Result<Success, TableError>
 ClaimKeeper::StoreAnswer(const dispatch::Answer& aAnswer, ClaimRow& aRow)
 {
--- a/Libraries/LibPlatform/ClaimKeeper.h
+++ b/Libraries/LibPlatform/ClaimKeeper.h
@@ -61,6 +61,10 @@
   bool PrepareTakeOver(TableOperation& aOperation, Round& aRound);
   bool PrepareRecord(TableOperation& aOperation, Round& aRound);
   bool PrepareRegister(TableOperation& aOperation, Round& aRound);
+  /** Whether the row's outcome could be had and was given. */
+  bool AnswerFrom(const ClaimRow& aRow,
+                  TableOperation& aOperation,
+                  Round& aRound);
   bool OnCommitted(TableOperation& aOperation, std::uint64_t aSequence);
   Result<Success, TableError> StoreAnswer(const dispatch::Answer& aAnswer,
                                           ClaimRow& aRow);
--- a/Services/Agent/AgentApp.cpp
+++ b/Services/Agent/AgentApp.cpp
@@ -1,6 +1,7 @@
 #include "Services/Agent/AgentApp.h"
 
 #include "LibCore/Log.h"
+#include "LibService/StatusPages.h"
 
 #include <algorithm>
 
@@ -11,9 +12,7 @@
 constexpr Milliseconds kFirstBackoff{ 100 };
 constexpr Milliseconds kLongestBackoff{ 2000 };
 constexpr Milliseconds kMaxWaitForAcknowledgement{ 10'000 };
-constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
 constexpr const char* kPlainText = "text/plain";
 
 bool
@@ -401,16 +400,10 @@
 AgentApp::OnRequest(service::HttpRequest aRequest,
                     std::shared_ptr<service::HttpReplier> aReplier)
 {
-  if (aRequest.path == "/healthz") {
-    return aReplier->Reply(kStatusOk, "alive\n", kPlainText);
-  }
-  if (aRequest.path == "/readyz") {
-    return ready_
-             ? aReplier->Reply(kStatusOk, "ready\n", kPlainText)
-             : aReplier->Reply(kStatusUnavailable, "not ready\n", kPlainText);
-  }
-  if (aRequest.path == "/metrics") {
-    return aReplier->Reply(kStatusOk, metrics_.Text(), kPlainText);
+  auto readiness =
+    ready_ ? service::Readiness::Ready : service::Readiness::NotReady;
+  if (service::AnswerStatusPage(aRequest, readiness, metrics_, aReplier)) {
+    return;
   }
   aReplier->Reply(kStatusNotFound, "no such page\n", kPlainText);
 }
--- a/Services/Entry/ControlWorker.cpp
+++ b/Services/Entry/ControlWorker.cpp
@@ -1,5 +1,6 @@
 #include "Services/Entry/ControlWorker.h"
 
+#include "LibPlatform/FenceRow.h"
 #include "LibPlatform/PatchWriter.h"
 
 #include <nlohmann/json.hpp>
@@ -9,7 +10,6 @@
 namespace {
 using Json = nlohmann::json;
 constexpr const char* kEntryPrefix = "entry/";
-constexpr const char* kFencesKey = "fences";
 
 std::string
 EntryKey(const EntryId& aEntry)
@@ -34,23 +34,6 @@
     aRow.version
   };
 }
-
-std::map<EntryId, Incarnation>
-DecodeFences(const std::string& aValue)
-{
-  std::map<EntryId, Incarnation> fences;
-  auto json = Json::parse(aValue, nullptr, false);
-  if (!json.is_object()) {
-    return fences;
-  }
-  for (const auto& [entry, incarnation] : json.items()) {
-    if (incarnation.is_number_unsigned()) {
-      fences.emplace(EntryId(entry),
-                     Incarnation(incarnation.get<std::uint64_t>()));
-    }
-  }
-  return fences;
-}
 }
 
 ControlWorker::ControlWorker(std::unique_ptr<platform::TableService> aTable,
@@ -132,9 +115,9 @@
 {
   ControlSnapshot snapshot;
   snapshot.startedAt = MonotonicNow();
-  auto read =
-    table_->Read({ { platform::PatchWriter::kConfigurationKey, kFencesKey },
-                   { kEntryPrefix } });
+  auto read = table_->Read(
+    { { platform::PatchWriter::kConfigurationKey, platform::kFencesKey },
+      { kEntryPrefix } });
   if (read.IsError()) {
     return;
   }
@@ -146,8 +129,8 @@
         return;
       }
       snapshot.configuration = document.ReleaseValue();
-    } else if (row.key == kFencesKey) {
-      snapshot.fences = DecodeFences(row.value);
+    } else if (row.key == platform::kFencesKey) {
+      snapshot.fences = platform::DecodeFences(row.value);
     } else if (auto member = DecodeMember(row)) {
       snapshot.members.push_back(*member);
     }
--- a/Services/Entry/EntryApp.cpp
+++ b/Services/Entry/EntryApp.cpp
@@ -6,6 +6,7 @@
 #include "LibDispatch/SubmissionParser.h"
 #include "LibPlatform/HttpObjectStore.h"
 #include "LibPlatform/HttpTableService.h"
+#include "LibService/StatusPages.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,9 +21,7 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusConflict = 409;
-constexpr int kStatusUnavailable = 503;
 constexpr const char* kJson = "application/json";
-constexpr const char* kPlainText = "text/plain";
 constexpr std::string_view kSubmissions = "/v1/submissions/";
 constexpr std::string_view kDecisions = "/decisions";
 
@@ -463,16 +462,10 @@
                              MonotonicNow()));
     });
   }
-  if (isGet && path == "/healthz") {
-    return aReplier->Reply(kStatusOk, "alive\n", kPlainText);
-  }
-  if (isGet && path == "/readyz") {
-    return ready_
-             ? aReplier->Reply(kStatusOk, "ready\n", kPlainText)
-             : aReplier->Reply(kStatusUnavailable, "not ready\n", kPlainText);
-  }
-  if (isGet && path == "/metrics") {
-    return aReplier->Reply(kStatusOk, metrics_.Text(), kPlainText);
+  auto readiness =
+    ready_ ? service::Readiness::Ready : service::Readiness::NotReady;
+  if (service::AnswerStatusPage(aRequest, readiness, metrics_, aReplier)) {
+    return;
   }
   Send(aReplier, ReplyForError(kStatusNotFound, "no_such_path"));
 }
--- a/Tests/System/Deployment.cpp
+++ b/Tests/System/Deployment.cpp
@@ -439,8 +439,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), length);
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+    (void)::bind(descriptor, reinterpret_cast<sockaddr*>(&address), length);
+    (void)::getsockname(
+      descriptor, reinterpret_cast<sockaddr*>(&address), &length);
     ::close(descriptor);
     auto port = ntohs(address.sin_port);
     if (sGiven.insert(port).second) {
