Services: Answer a configuration update at once

Cause: on an idle deployment a patch was answered after 2 s with 202, since entries and agents that had adopted the version said so only in their next frame, up to 5 s later.

Ruled out: the push itself, which went out at once.

Change: whoever gets a configuration update answers it with a heartbeat, whose header carries the version.

Figures: the new test of an idle deployment fails before (202) and passes after (200, both entries and all agents known).

--- a/Services/Agent/AgentApp.cpp
+++ b/Services/Agent/AgentApp.cpp
@@ -301,7 +301,11 @@
           std::to_string(configuration_.Current()->version.Value()) } });
   }
   const auto* heartbeat = std::get_if<protocol::Heartbeat>(&aFrame.message);
-  if (heartbeat && heartbeat->wantsAnswer) {
+  // The sender of a version may be waiting to tell that it is in force.
+  bool isAwaited =
+    (heartbeat && heartbeat->wantsAnswer) ||
+    std::holds_alternative<protocol::ConfigurationUpdate>(aFrame.message);
+  if (isAwaited) {
     SendOn(aLink, protocol::Heartbeat{ false });
   }
 }
--- a/Services/Entry/EntryLinks.cpp
+++ b/Services/Entry/EntryLinks.cpp
@@ -305,7 +305,9 @@
   if (const auto* update =
         std::get_if<protocol::ConfigurationUpdate>(&aFrame.message)) {
     session.peerVersion = std::max(session.peerVersion, update->version);
-    return LearnDocument(*update);
+    LearnDocument(*update);
+    // The sender may be waiting to tell an operator that it is in force.
+    return Send(aLink, session, protocol::Heartbeat{ false });
   }
   if (const auto* hello = std::get_if<protocol::AgentHello>(&aFrame.message)) {
     return OnAgentHello(aLink, session, *hello);
--- a/Tests/System/ConfigurationTest.cpp
+++ b/Tests/System/ConfigurationTest.cpp
@@ -178,6 +178,23 @@
   }
 }
 
+TEST_CASE("a patch of an idle deployment is known to be in force everywhere",
+          "[invariant-9]")
+{
+  Deployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+  for (std::uint64_t base = 0; base < 3; ++base) {
+    long status = 0;
+    auto body = deployment.Patch(
+      0, base, DomainState("promenade", base % 2 ? "open" : "closed"), &status);
+    REQUIRE(body);
+    INFO(body->dump());
+    CHECK(status == 200);
+    CHECK((*body)["entries_with_version"] == 2);
+    CHECK((*body)["agents_without_version"] == 0);
+  }
+}
+
 TEST_CASE("two operators race and exactly one patch becomes each version",
           "[invariant-9]")
 {
