Services+LibCore: Count control frames in one place, drop what nothing uses

Cause: reading the whole change again showed the counting of control frames by type written twice, two fields of an agent's session that nothing reads since heartbeats changed, and nine events in the catalogue that no code writes, so that docs/EVENTS.md promised more than the programs do.

Behaviour is as it was.

Checked: formatter; linter on the changed files; core, protocol, platform and measure tests, and the system tests path, outage, invariant-4 and invariant-9. Ruled out for now: one Beat() for agent and entry, whose rules differ in what makes news urgent, and whose joining would need its own tests.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -16,24 +16,15 @@
   X(203, FrameRefused, "a frame could not be decoded and its link was closed") \
   X(204, LinkQueueFull, "a link's outbound queue is full and it was closed")   \
   X(300, ConfigurationAdopted, "a newer configuration version is in force")    \
-  X(301, ConfigurationStale, "the configuration is too old to start work on")  \
   X(302, PatchAccepted, "an operator's patch became a version")                \
   X(303, PatchRefused, "an operator's patch was refused")                      \
   X(400, TableUnavailable, "the table service does not answer")                \
   X(401, TableAvailable, "the table service answers again")                    \
-  X(402, ClaimLost, "a claim was taken over by another entry")                 \
-  X(403, AnswerNotRecorded, "an answer could not be recorded yet")             \
   X(500, UpstreamAnnounced, "an upstream announced itself")                    \
   X(501, UpstreamLost, "an upstream's process is gone")                        \
-  X(502, UpstreamSetAside, "an upstream fails what it starts")                 \
-  X(503, UpstreamTrusted, "an upstream that was set aside serves again")       \
   X(504, UpstreamDrained, "a leaving upstream has no work left")               \
   X(600, EntryMemberLapsed, "another entry's lease lapsed")                    \
-  X(601, EntryFenced, "an entry's incarnation was fenced off")                 \
   X(602, TakeoverBegun, "a lost entry's submission is being taken over")       \
-  X(603, TakeoverEnded, "a taken over submission continues or failed")         \
-  X(604, Reincarnated, "this entry lost its lease and took a new incarnation") \
-  X(700, RequestRefused, "a caller's request was refused")                     \
-  X(701, SubmissionFailed, "a submission failed")
+  X(604, Reincarnated, "this entry lost its lease and took a new incarnation")
 
 #endif
--- a/Services/Agent/AgentApp.cpp
+++ b/Services/Agent/AgentApp.cpp
@@ -32,6 +32,7 @@
   , core_(settings_.identity, settings_.limits, configuration_, *this)
   , hub_(aLoop.Base(), {}, *this)
   , starts_(metrics_.Counter("vanillaworks_starts_total"))
+  , controlFrames_(metrics_)
 {
 }
 
@@ -129,7 +130,6 @@
     if (linkId) {
       Session session;
       session.address = address;
-      session.dialledAt = aNow;
       session.awaitingSince = aNow;
       session.lastReceived = aNow;
       sessions_.emplace(*linkId, std::move(session));
@@ -211,13 +211,7 @@
     return;
   }
   if (!CarriesTask(aMessage)) {
-    auto& counter = controlFrames_[aMessage.index()];
-    if (!counter) {
-      counter = &metrics_.Counter("vanillaworks_control_frames_total",
-                                  "type",
-                                  protocol::MessageName(aMessage));
-    }
-    counter->Increment();
+    controlFrames_.Count(aMessage);
   }
   hub_.Send(aLink, { MakeHeader(session->second), std::move(aMessage) });
 }
@@ -282,7 +276,6 @@
   auto now = MonotonicNow();
   session.lastReceived = now;
   session.peerSentAt = aFrame.header.sentAt;
-  session.echoed = std::max(session.echoed, aFrame.header.echo);
   if (const auto* welcome = std::get_if<protocol::Welcome>(&aFrame.message)) {
     OnWelcome(aLink, session, *welcome);
   }
--- a/Services/Agent/AgentApp.h
+++ b/Services/Agent/AgentApp.h
@@ -3,6 +3,7 @@
 
 #include "LibDispatch/AgentCore.h"
 #include "LibLink/LinkHub.h"
+#include "LibService/ControlFrameCounter.h"
 #include "LibService/EventLoop.h"
 #include "LibService/HttpServer.h"
 #include "LibService/Metrics.h"
@@ -54,11 +55,8 @@
     /** Empty before the entry's Welcome. */
     EntryId entry;
     bool up = false;
-    MonotonicTime dialledAt;
     MonotonicTime lastReceived;
     std::int64_t peerSentAt = 0;
-    /** Our latest send time that the entry has echoed. */
-    std::int64_t echoed = 0;
     MonotonicTime lastHeartbeat;
     /** Since when a frame from the entry has been due. */
     MonotonicTime awaitingSince;
@@ -92,8 +90,7 @@
   service::Metrics metrics_;
   std::array<prometheus::Counter*, 16> refusals_{};
   prometheus::Counter& starts_;
-  std::array<prometheus::Counter*, std::variant_size_v<protocol::Message>>
-    controlFrames_{};
+  service::ControlFrameCounter controlFrames_;
   std::unique_ptr<service::HttpServer> pages_;
   std::map<link::LinkId, Session> sessions_;
   std::map<EntryId, link::LinkId> byEntry_;
--- a/Services/Entry/EntryLinks.cpp
+++ b/Services/Entry/EntryLinks.cpp
@@ -27,6 +27,7 @@
   , configuration_(aConfiguration)
   , metrics_(aMetrics)
   , listener_(aListener)
+  , controlFrames_(aMetrics)
   , hub_(aBase, {}, *this)
   , freshness_(aSettings.entry)
 {
@@ -90,13 +91,7 @@
                  protocol::Message aMessage)
 {
   if (!CarriesTask(aMessage)) {
-    auto& counter = controlFrames_[aMessage.index()];
-    if (!counter) {
-      counter = &metrics_.Counter("vanillaworks_control_frames_total",
-                                  "type",
-                                  protocol::MessageName(aMessage));
-    }
-    counter->Increment();
+    controlFrames_.Count(aMessage);
   }
   hub_.Send(aLink, { MakeHeader(aSession), std::move(aMessage) });
 }
--- a/Services/Entry/EntryLinks.h
+++ b/Services/Entry/EntryLinks.h
@@ -6,11 +6,11 @@
 #include "LibDispatch/MemberTable.h"
 #include "LibDispatch/VersionFreshness.h"
 #include "LibLink/LinkHub.h"
+#include "LibService/ControlFrameCounter.h"
 #include "LibService/Metrics.h"
 #include "Services/Entry/EntryLinksListener.h"
 #include "Services/Entry/EntrySettings.h"
 
-#include <array>
 #include <map>
 #include <set>
 #include <string>
@@ -109,8 +109,7 @@
   dispatch::ConfigurationHolder& configuration_;
   service::Metrics& metrics_;
   EntryLinksListener& listener_;
-  std::array<prometheus::Counter*, std::variant_size_v<protocol::Message>>
-    controlFrames_{};
+  service::ControlFrameCounter controlFrames_;
   link::LinkHub hub_;
   dispatch::VersionFreshness freshness_;
   std::map<link::LinkId, Session> sessions_;
