LibJob: Don't take a further try's refusal for proof that nothing started

Cause: a start without an answer was made again; when that call was refused (the runner had crashed a millisecond after it began the first one), the run was told of as never started and its job rejected as not run. Ruled out: a late order after the rejection; the runner's list shows the start 10 ms before the answer. Change: after a second try any refusal leaves the run uncertain until the runner tells. Also: starts are made again after four deviations of the answer time (20 to 60 ms, before 60), and looks at a runner that has been silent for 200 ms no longer renew its lease, so that its work lapses and goes to others. Tests: three in RunKeeperTest.cpp, of which each failed before.

--- a/Libraries/LibJob/Forward.h
+++ b/Libraries/LibJob/Forward.h
@@ -3,8 +3,10 @@
 
 namespace vanillaworks::job {
 
+class AnswerTimes;
 class ControlPull;
 class ControlView;
+class DrainRate;
 class JobDispatcher;
 class JobDispatcherPort;
 class Placement;
--- a/Libraries/LibJob/RunKeeper.cpp
+++ b/Libraries/LibJob/RunKeeper.cpp
@@ -18,8 +18,10 @@
 /** After a look should have been answered, another one is asked for. */
 constexpr Milliseconds kOverdue{ 25 };
 constexpr std::size_t kMaxHolds = 4;
-/** A call's first timeout; it doubles with each try. */
-constexpr Milliseconds kFirstTimeout{ 60 };
+/** Without an answer for so long, looks no longer renew the lease. */
+constexpr Milliseconds kRenewWithin{ 200 };
+/** A stop's first timeout; it doubles with each try. */
+constexpr Milliseconds kStopTimeout{ 60 };
 constexpr std::uint32_t kMaxTries = 3;
 constexpr std::uint32_t kMaxDoublings = 3;
 bool
@@ -227,7 +229,10 @@
   call.wait = isAwaitingProof ? kShortWait
               : hasRuns       ? limits_.holdWait
                               : Milliseconds{ 0 };
-  call.leaseUntilMs = hasRuns ? LeaseUntil(aNow) : 0;
+  // What a runner that went silent was given must lapse, so that it can be
+  // given to others.
+  bool isHeard = aNow - life_->answeredAt <= kRenewWithin;
+  call.leaseUntilMs = hasRuns && isHeard ? LeaseUntil(aNow) : 0;
   auto number = nextHold_++;
   holds_[number] = {
     number, aNow, life_->token, life_->lastSeen, aNow + call.wait + kOverdue,
@@ -365,7 +370,7 @@
     auto found = runs_.find(row.key);
     if (found == runs_.end() || !found->second.TakesRoom()) {
       if (foreign_.insert(row.key).second) {
-        port_.CallStop({ Target(), row.key, kFirstTimeout * 4 });
+        port_.CallStop({ Target(), row.key, kStopTimeout * 4 });
       }
       continue;
     }
@@ -446,44 +451,23 @@
     life_->answeredAt = aNow;
   }
   auto& run = found->second;
+  if (aResult == StartResult::Started && run.tries == 1) {
+    answerTimes_.Add(
+      std::chrono::duration_cast<Milliseconds>(aNow - run.calledAt));
+  }
   bool isAwaited =
     run.phase == RunPhase::Starting || run.phase == RunPhase::Uncertain;
   if (!isAwaited) {
     return;
   }
-  switch (aResult) {
-    case StartResult::Started:
-      run.phase = RunPhase::Running;
-      run.startedAt = aNow;
-      run.progressAt = aNow;
-      break;
-    case StartResult::NoRoom:
-    case StartResult::Late:
-      End(aKey, RunOutcome::NoRoom, aNow);
-      break;
-    case StartResult::OldRun:
-      End(aKey, RunOutcome::OldRun, aNow);
-      break;
-    case StartResult::Fenced:
-      if (aToken == life_->token) {
-        RaiseToken(kFencedRaise);
-      }
-      End(aKey, RunOutcome::NoRoom, aNow);
-      break;
-    case StartResult::Unhealthy:
-      condition_.OnFailed(aKey.job, aNow);
-      End(aKey, RunOutcome::RefusedByWorker, aNow);
-      break;
-    case StartResult::Rejected:
-      End(aKey, RunOutcome::RefusedByWorker, aNow);
-      break;
-    case StartResult::NotReached:
-      LoseTouch(aNow);
-      End(aKey, RunOutcome::NoRoom, aNow);
-      break;
-    case StartResult::Unknown:
-      OnStartLost(run, aNow);
-      break;
+  if (aResult == StartResult::Started) {
+    run.phase = RunPhase::Running;
+    run.startedAt = aNow;
+    run.progressAt = aNow;
+  } else if (aResult == StartResult::Unknown) {
+    OnStartLost(run, aNow);
+  } else {
+    OnStartRefused(run, aToken, aResult, aNow);
   }
   StartWhatFits(aNow);
   HoldIfNeeded(aNow);
@@ -526,7 +510,8 @@
 void
 RunKeeper::CallStart(Run& aRun, MonotonicTime aNow)
 {
-  auto timeout = kFirstTimeout * (1 << std::min(aRun.tries, kMaxDoublings));
+  auto doublings = std::min(aRun.tries, kMaxDoublings);
+  auto timeout = answerTimes_.Timeout() * (1 << doublings);
   ++aRun.tries;
   port_.CallStart({ Target(), aRun.key, aRun.spec, LeaseUntil(aNow), timeout });
 }
@@ -547,6 +532,46 @@
   Stop(aRun, protocol::RunOutcome::Stopped, aNow);
 }
 
+void
+RunKeeper::OnStartRefused(Run& aRun,
+                          std::uint64_t aToken,
+                          StartResult aResult,
+                          MonotonicTime aNow)
+{
+  using protocol::RunOutcome;
+  auto outcome = RunOutcome::NoRoom;
+  switch (aResult) {
+    case StartResult::OldRun:
+      outcome = RunOutcome::OldRun;
+      break;
+    case StartResult::Fenced:
+      if (aToken == life_->token) {
+        RaiseToken(kFencedRaise);
+      }
+      break;
+    case StartResult::Unhealthy:
+      condition_.OnFailed(aRun.key.job, aNow);
+      outcome = RunOutcome::RefusedByWorker;
+      break;
+    case StartResult::Rejected:
+      outcome = RunOutcome::RefusedByWorker;
+      break;
+    case StartResult::NotReached:
+      LoseTouch(aNow);
+      break;
+    default:
+      break;
+  }
+  if (aRun.tries > 1) {
+    // This try did nothing, but an earlier one may have started the run, or
+    // may start it yet.
+    aRun.phase = RunPhase::Uncertain;
+    Stop(aRun, RunOutcome::Stopped, aNow);
+    return;
+  }
+  End(RunKey(aRun.key), outcome, aNow);
+}
+
 void
 RunKeeper::Stop(Run& aRun, protocol::RunOutcome aAs, MonotonicTime aNow)
 {
@@ -570,7 +595,7 @@
   }
   aRun.stopCalled = true;
   auto doublings = std::min(aRun.stopTries++, kMaxDoublings);
-  port_.CallStop({ Target(), aRun.key, kFirstTimeout * (1 << doublings) });
+  port_.CallStop({ Target(), aRun.key, kStopTimeout * (1 << doublings) });
 }
 
 void
--- a/Libraries/LibJob/RunKeeper.h
+++ b/Libraries/LibJob/RunKeeper.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
+#include "LibJob/AnswerTimes.h"
 #include "LibJob/ControlView.h"
 #include "LibJob/Run.h"
 #include "LibJob/RunKeeperPort.h"
@@ -177,6 +178,11 @@
   void CallStart(Run& aRun, MonotonicTime aNow);
   /** No answer came to the start call. */
   void OnStartLost(Run& aRun, MonotonicTime aNow);
+  /** The answer says that this call started nothing. */
+  void OnStartRefused(Run& aRun,
+                      std::uint64_t aToken,
+                      StartResult aResult,
+                      MonotonicTime aNow);
   /** What of the order waits goes back to its entry. */
   void GiveBack(const protocol::RunOrder& aOrder, MonotonicTime aNow);
   void GiveBackQueue(protocol::RunOutcome aWhy, MonotonicTime aNow);
@@ -195,6 +201,8 @@
   const ControlView& control_;
   RunKeeperPort& port_;
   RunnerCondition condition_;
+  /** Of start calls. */
+  AnswerTimes answerTimes_;
   std::optional<Life> life_;
   /** The life that is being asked about, and one told of meanwhile. */
   std::optional<RunnerReport> candidate_;
--- a/Tests/LibJob/RunKeeperTest.cpp
+++ b/Tests/LibJob/RunKeeperTest.cpp
@@ -281,6 +281,44 @@
   CHECK(rig.keeper.Status(kEntry, rig.now).cpuFree == 1000);
 }
 
+TEST_CASE("a further try's refusal doesn't tell what became of the first one")
+{
+  auto refusal = GENERATE(StartResult::NotReached,
+                          StartResult::NoRoom,
+                          StartResult::OldRun,
+                          StartResult::Fenced,
+                          StartResult::Late,
+                          StartResult::Unhealthy,
+                          StartResult::Rejected);
+  Rig rig;
+  rig.Adopt();
+  rig.Order(1);
+  rig.keeper.OnStartAnswered(
+    rig.Key(0), rig.token, StartResult::Unknown, rig.now);
+  REQUIRE(rig.starts.size() == 2);
+  rig.keeper.OnStartAnswered(rig.Key(0), rig.token, refusal, rig.now);
+  // Its job must not be rejected as not run, nor the task start elsewhere.
+  CHECK(rig.ends.empty());
+  CHECK(rig.keeper.Status(kEntry, rig.now).cpuFree == 1000);
+  SECTION("the runner had started it before it crashed")
+  {
+    rig.born += 5000;
+    rig.sequence = 0;
+    rig.holds.clear();
+    rig.keeper.OnRunnerReport(rig.Report(), rig.now);
+    rig.AnswerHold(rig.Answer());
+    CHECK(rig.ends == std::vector{ RunOutcome::Stopped });
+  }
+  SECTION("it had started and ended")
+  {
+    rig.holds.clear();
+    rig.Pass(Milliseconds(100));
+    rig.keeper.OnTick(rig.now);
+    rig.AnswerHold(rig.Answer({}, { { 1, rig.Key(0), EndKind::Done } }));
+    CHECK(rig.ends == std::vector{ RunOutcome::Done });
+  }
+}
+
 TEST_CASE("a start whose answer was lost goes on when a look shows it")
 {
   Rig rig;
@@ -416,6 +454,45 @@
   CHECK(looks >= 5);
 }
 
+TEST_CASE("what a silent runner was given lapses and goes to others")
+{
+  Rig rig;
+  rig.Adopt();
+  // Leases that a former process gave are over.
+  rig.Pass(Milliseconds(2000));
+  rig.Vouch();
+  rig.Order(1);
+  rig.keeper.OnStartAnswered(
+    rig.Key(0), rig.token, StartResult::Started, rig.now);
+  auto silentAt = rig.now;
+  while (rig.ends.empty() && rig.now < silentAt + Milliseconds(5000)) {
+    rig.Pass(Milliseconds(25));
+    rig.keeper.OnVouched(kEntry, rig.now);
+    rig.keeper.OnTick(rig.now);
+    auto lease = rig.holds.empty() ? 0 : rig.holds.back().second.leaseUntilMs;
+    bool isRenewal = lease > rig.clockMs + 900;
+    CHECK_FALSE((isRenewal && rig.now > silentAt + Milliseconds(250)));
+  }
+  // Not before the last lease is over, even on a slow clock.
+  CHECK(rig.now > silentAt + Milliseconds(1020));
+  CHECK(rig.now < silentAt + Milliseconds(1500));
+  CHECK(rig.ends == std::vector{ RunOutcome::Stopped });
+}
+
+TEST_CASE("lost starts are made again sooner at a runner that answers quickly")
+{
+  Rig rig;
+  rig.Adopt();
+  rig.Order(1);
+  CHECK(rig.starts.back().timeout == Milliseconds(60));
+  rig.Pass(Milliseconds(2));
+  rig.keeper.OnStartAnswered(
+    rig.Key(0), rig.token, StartResult::Started, rig.now);
+  rig.AnswerHold(rig.Answer({}, { { 1, rig.Key(0), EndKind::Done } }));
+  rig.Order(2);
+  CHECK(rig.starts.back().timeout == Milliseconds(20));
+}
+
 TEST_CASE("looks and stops that fail at once are not repeated at once")
 {
   Rig rig;
