LibJob+Entry: Reject at once what waiting can't help, let a new process's first jobs wait

Cause: under a burst jobs waited for a fifth of their goal and were rejected up to a tick later, most of them without a chance; a new entry rejected all until its configuration and links were there. Change: a job waits only if the rate at which tasks end here lets it (DrainRate), and is looked at each 5 ms; an entry keeps requests for up to 250 ms until it knows a configuration, and jobs of its first second wait for their first worker; a stopping entry takes what ends before its own end. TaskPlaced and its counter no longer tell of plans that were taken back.

--- a/Libraries/LibJob/Job.h
+++ b/Libraries/LibJob/Job.h
@@ -61,6 +61,10 @@
   bool started = false;
   /** Past its goal: tasks may end late. */
   bool late = false;
+  /** It was let wait for room before anything of it was ordered. */
+  bool waitsForRoom = false;
+  /** Tasks that had no place when they were last tried. */
+  std::size_t missing = 0;
   std::map<UpstreamId, std::uint32_t> perWorker;
 };
 
--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -21,6 +21,12 @@
 {
 }
 
+void
+JobDispatcher::BeginWarmUp(MonotonicTime aNow)
+{
+  warmUntil_ = aNow + limits_.warmUp;
+}
+
 void
 JobDispatcher::Submit(JobRequest aRequest, WaiterId aWaiter, MonotonicTime aNow)
 {
@@ -223,7 +229,7 @@
                         MonotonicTime aNow)
 {
   views_[aStatus.upstream].OnStatus(aStatus, aNow);
-  if (hasWaiting_ && aNow - triedAt_ >= kTryAgain) {
+  if (!waiting_.empty() && aNow - triedAt_ >= kTryAgain) {
     TryWaiting(aNow);
   }
 }
@@ -238,7 +244,7 @@
     return;
   }
   for (const auto& end : aReport.ends) {
-    OnEnd(found->second, aUpstream, end);
+    OnEnd(found->second, aUpstream, end, aNow);
   }
   Advance(found->second, aNow);
 }
@@ -246,7 +252,8 @@
 void
 JobDispatcher::OnEnd(Job& aJob,
                      const UpstreamId& aUpstream,
-                     const protocol::RunEnd& aEnd)
+                     const protocol::RunEnd& aEnd,
+                     MonotonicTime aNow)
 {
   using protocol::RunOutcome;
   if (aEnd.task.index >= aJob.tasks.size()) {
@@ -270,6 +277,9 @@
                   aEnd.outcome,
                   Milliseconds(aEnd.elapsedMs) });
   Release(aJob, task);
+  if (aEnd.outcome == RunOutcome::Done) {
+    drainRate_.OnEnded(aNow);
+  }
   if (!NeverStarted(aEnd.outcome)) {
     aJob.started = true;
   }
@@ -348,6 +358,13 @@
   CancelAll(aJob, protocol::CancelScope::All);
 }
 
+void
+JobDispatcher::Erase(const SubmissionId& aJob)
+{
+  waiting_.erase(aJob);
+  jobs_.erase(aJob);
+}
+
 void
 JobDispatcher::ExpireUnknown(Job& aJob, MonotonicTime aNow)
 {
@@ -371,11 +388,28 @@
   });
 }
 
+void
+JobDispatcher::OnWake(MonotonicTime aNow)
+{
+  isWakeAsked_ = false;
+  TryWaiting(aNow);
+}
+
+void
+JobDispatcher::LetWait(Job& aJob)
+{
+  aJob.waitsForRoom = true;
+  waiting_.insert(aJob.request.id);
+  if (!isWakeAsked_) {
+    isWakeAsked_ = true;
+    port_.WakeSoon();
+  }
+}
+
 void
 JobDispatcher::TryWaiting(MonotonicTime aNow)
 {
   triedAt_ = aNow;
-  hasWaiting_ = false;
   std::vector<std::tuple<std::uint32_t, MonotonicTime, SubmissionId>> due;
   for (const auto& [id, job] : jobs_) {
     bool isOver = aNow >= job.request.deadline - limits_.deadlineMargin;
--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -4,6 +4,7 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
 #include "LibJob/ControlView.h"
+#include "LibJob/DrainRate.h"
 #include "LibJob/Job.h"
 #include "LibJob/JobDispatcherPort.h"
 #include "LibJob/Placement.h"
@@ -16,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace vanillaworks::job {
 
@@ -28,6 +30,8 @@
   Milliseconds lostAgent{ 1300 };
   /** How long an answer is kept for a caller that asks again. */
   Milliseconds answerRetention{ 5000 };
+  /** While agents dial a new process, jobs wait for their first worker. */
+  Milliseconds warmUp{ 1000 };
   /** Kept before the deadline, for the answer to reach the caller. */
   Milliseconds deadlineMargin{ 30 };
   std::size_t maxJobs = 20'000;
@@ -46,6 +50,8 @@
                 std::uint64_t aSeed,
                 JobDispatcherPort& aPort);
 
+  /** The process has just begun; agents are about to link. */
+  void BeginWarmUp(MonotonicTime aNow);
   /** The waiter gets its answer through the port, perhaps at once. */
   void Submit(JobRequest aRequest, WaiterId aWaiter, MonotonicTime aNow);
   /** The caller's connection is gone; its runs are stopped. */
@@ -77,6 +83,8 @@
 
   /** Call about every 25 ms. */
   void OnTick(MonotonicTime aNow);
+  /** Answers JobDispatcherPort::WakeSoon(). */
+  void OnWake(MonotonicTime aNow);
 
   /** Some upstream takes orders, in a domain that is open. */
   bool HasUsableUpstream(MonotonicTime aNow) const;
@@ -103,16 +111,22 @@
   void OnNoPlace(Job& aJob, MonotonicTime aNow);
   /** A rejection would still leave its caller time to turn elsewhere. */
   static bool IsEarly(const Job& aJob, MonotonicTime aNow);
+  void LetWait(Job& aJob);
+  /** Whether a job without a place has a fair chance of one if it waits. */
+  bool MayWait(const Job& aJob, MonotonicTime aNow) const;
+  /** By the rate at which tasks end, and what waits before it. */
+  bool HasRoomInTime(const Job& aJob, MonotonicTime aNow) const;
   /** Places jobs anew that wait for room; those due are answered. */
   void TryWaiting(MonotonicTime aNow);
   void OnEnd(Job& aJob,
              const UpstreamId& aUpstream,
-             const protocol::RunEnd& aEnd);
+             const protocol::RunEnd& aEnd,
+             MonotonicTime aNow);
   /** What is out is cancelled; the job stays until that is certain. */
   void CancelAll(Job& aJob, protocol::CancelScope aScope);
   void Conclude(Job& aJob, JobAnswer aAnswer, MonotonicTime aNow);
   void Release(Job& aJob, JobTask& aTask);
-  void Erase(const SubmissionId& aJob) { jobs_.erase(aJob); }
+  void Erase(const SubmissionId& aJob);
   void ExpireUnknown(Job& aJob, MonotonicTime aNow);
 
   JobDispatcherLimits limits_;
@@ -121,8 +135,11 @@
   Placement placement_;
   Placement::Views views_;
   Jobs_ jobs_;
-  /** Some job waits here for room. */
-  bool hasWaiting_ = false;
+  /** Jobs that wait here for room. */
+  std::unordered_set<SubmissionId> waiting_;
+  bool isWakeAsked_ = false;
+  DrainRate drainRate_;
+  MonotonicTime warmUntil_;
   MonotonicTime triedAt_;
   std::unordered_map<SubmissionId, Answered> answered_;
 };
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -7,6 +7,7 @@
 void
 JobDispatcher::Advance(Job& aJob, MonotonicTime aNow)
 {
+  waiting_.erase(aJob.request.id);
   if (aJob.intent == Intent::Abandon) {
     if (aJob.out == 0) {
       Erase(SubmissionId(aJob.request.id));
@@ -64,6 +65,7 @@
 {
   std::map<UpstreamId, std::vector<std::uint32_t>> plan;
   std::map<UpstreamId, Milliseconds> startWithin;
+  std::vector<TaskPlaced> placed;
   bool isWhole = true;
   for (std::uint32_t i = 0; i < aJob.tasks.size(); ++i) {
     auto& task = aJob.tasks[i];
@@ -95,17 +97,18 @@
     within = std::max(within, allowed);
     // The next task must see this one's room as taken.
     views_[place->upstream].OnOrdered(aJob.request.room, aJob.request.estimate);
-    port_.OnPlaced({ aJob.request.id,
-                     i,
-                     task.run,
-                     place->upstream,
-                     place->candidates,
-                     place->startIn,
-                     place->endIn });
+    placed.push_back({ aJob.request.id,
+                       i,
+                       task.run,
+                       place->upstream,
+                       place->candidates,
+                       place->startIn,
+                       place->endIn });
   }
   bool isRejectable = !isWhole && !aJob.started && !aJob.late;
   if (isRejectable) {
     // Nothing of this plan was sent: it is as if it had never been.
+    aJob.missing = aJob.tasks.size() - aJob.out;
     for (const auto& [upstream, tasks] : plan) {
       for (auto index : tasks) {
         Release(aJob, aJob.tasks[index]);
@@ -115,6 +118,9 @@
     }
     return false;
   }
+  for (const auto& event : placed) {
+    port_.OnPlaced(event);
+  }
   SendOrders(aJob, plan, startWithin);
   return isWhole;
 }
@@ -155,6 +161,36 @@
   return aNow - request.arrival < patience;
 }
 
+bool
+JobDispatcher::MayWait(const Job& aJob, MonotonicTime aNow) const
+{
+  if (!placement_.IsHopeful()) {
+    return false;
+  }
+  bool isWarmingUp =
+    aNow < warmUntil_ && placement_.Reason() == NoPlace::NoWorker;
+  if (isWarmingUp) {
+    return true;
+  }
+  return IsEarly(aJob, aNow) &&
+         (aJob.waitsForRoom || HasRoomInTime(aJob, aNow));
+}
+
+bool
+JobDispatcher::HasRoomInTime(const Job& aJob, MonotonicTime aNow) const
+{
+  auto tasks = aJob.missing;
+  for (const auto& id : waiting_) {
+    const auto& other = jobs_.at(id);
+    if (other.request.route.priority <= aJob.request.route.priority) {
+      tasks += other.missing;
+    }
+  }
+  auto wait = drainRate_.TimeFor(tasks, aNow);
+  auto patience = (aJob.request.Goal() - aJob.request.arrival) / kWaitShare;
+  return !wait || *wait <= patience;
+}
+
 void
 JobDispatcher::OnNoPlace(Job& aJob, MonotonicTime aNow)
 {
@@ -169,9 +205,8 @@
     }
     return;
   }
-  bool mayWait = IsEarly(aJob, aNow) && placement_.IsHopeful();
-  if (aJob.out == 0 && mayWait) {
-    hasWaiting_ = true;
+  if (aJob.out == 0 && MayWait(aJob, aNow)) {
+    LetWait(aJob);
     return;
   }
   if (aJob.out == 0) {
--- a/Libraries/LibJob/JobDispatcherPort.h
+++ b/Libraries/LibJob/JobDispatcherPort.h
@@ -20,6 +20,8 @@
   virtual void Answer(WaiterId aWaiter,
                       const JobRequest& aJob,
                       const JobAnswer& aAnswer) = 0;
+  /** A job waits for room: call OnWake() in a few milliseconds. */
+  virtual void WakeSoon() = 0;
   /** For logs and metrics only. */
   virtual void OnPlaced(const TaskPlaced& aEvent) = 0;
   virtual void OnEnded(const TaskEnded& aEvent) = 0;
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -10,13 +10,16 @@
 
 namespace {
 constexpr Milliseconds kTick{ 25 };
+constexpr Milliseconds kWake{ 5 };
+/** The first configuration is there within a tenth of a second, as a rule. */
+constexpr Milliseconds kEarlyWait{ 250 };
+constexpr std::size_t kMostEarly = 256;
 constexpr Milliseconds kCallerCheck{ 100 };
 constexpr Milliseconds kMembership{ 1000 };
 /** Short, so that a silent connection is found while it still matters. */
 constexpr Milliseconds kFeedWait{ 2000 };
 /** The balancer takes two misses, a second apart, to turn elsewhere. */
 constexpr Milliseconds kLeastStop{ 2600 };
-constexpr Milliseconds kStopAccepting{ 3200 };
 /** Before the bound, for the last answers to leave. */
 constexpr Milliseconds kStopMargin{ 400 };
 /** A join that goes unheard on a dead connection is found after this. */
@@ -51,7 +54,7 @@
   : settings_(std::move(aSettings))
   , loop_(aLoop)
   , answerSeconds_(metrics_.Latency("vanillaworks_answer_seconds"))
-  , news_(control_, [](MonotonicTime) {})
+  , news_(control_, [this](MonotonicTime aNow) { ServeEarly(aNow); })
   , dispatcher_(settings_.limits, control_, NewIncarnation().Value(), *this)
   , links_(aLoop.Base(),
            settings_.entry,
@@ -109,6 +112,7 @@
   if (!isListening) {
     return false;
   }
+  dispatcher_.BeginWarmUp(MonotonicNow());
   feed_.Start();
   members_.Start();
   KeepMembership();
@@ -152,18 +156,50 @@
 void
 JobEntry::OnRequest(Exchange aExchange)
 {
-  const auto& request = aExchange->Request();
   if (!control_.IsKnown()) {
+    KeepEarly(aExchange);
+    return;
+  }
+  Serve(aExchange, MonotonicNow());
+}
+
+void
+JobEntry::KeepEarly(const Exchange& aExchange)
+{
+  if (early_.size() >= kMostEarly) {
     Reject(aExchange, "no_configuration");
     return;
   }
+  early_.push_back({ aExchange, MonotonicNow() });
+}
+
+void
+JobEntry::ServeEarly(MonotonicTime aNow)
+{
+  auto early = std::move(early_);
+  early_.clear();
+  for (const auto& request : early) {
+    if (control_.IsKnown()) {
+      Serve(request.exchange, request.arrival);
+    } else if (aNow - request.arrival > kEarlyWait) {
+      Reject(request.exchange, "no_configuration");
+    } else {
+      early_.push_back(request);
+    }
+  }
+}
+
+void
+JobEntry::Serve(const Exchange& aExchange, MonotonicTime aArrival)
+{
+  const auto& request = aExchange->Request();
   const auto* route = control_.FindRoute(aExchange->Host(), request.path);
   if (!route) {
     OnNoRoute(aExchange);
     return;
   }
   if (request.method == service::HttpMethod::Post) {
-    OnJob(aExchange, *route);
+    OnJob(aExchange, *route, aArrival);
     return;
   }
   if (request.path == route->pathPrefix) {
@@ -218,7 +254,9 @@
 }
 
 void
-JobEntry::OnJob(const Exchange& aExchange, const protocol::RouteRow& aRoute)
+JobEntry::OnJob(const Exchange& aExchange,
+                const protocol::RouteRow& aRoute,
+                MonotonicTime aArrival)
 {
   const auto& request = aExchange->Request();
   auto id = wire::ParseJobId(request.path, aRoute.pathPrefix);
@@ -226,11 +264,6 @@
     Send(*aExchange, wire::NoSuchQueue());
     return;
   }
-  auto now = MonotonicNow();
-  if (stopping_ && now - stopBeganAt_ > kStopAccepting) {
-    Reject(aExchange, "stopping");
-    return;
-  }
   auto parsed = wire::ParseJob(request.body);
   if (parsed.IsError()) {
     auto name = std::string(wire::JobProblemName(parsed.Error()));
@@ -243,8 +276,12 @@
   auto job = parsed.ReleaseValue();
   job.id = *id;
   job.route = aRoute;
-  job.arrival = now;
-  job.deadline = now + WaitOf(*aExchange, aRoute);
+  job.arrival = aArrival;
+  job.deadline = aArrival + WaitOf(*aExchange, aRoute);
+  if (!EndsBeforeStop(job)) {
+    Reject(aExchange, "stopping");
+    return;
+  }
   WaiterId waiter(nextWaiter_++);
   aExchange->OnCallerGone([this, waiter, id = *id] {
     Log::Write(Event::CallerGone, { { "job", id.Value() } });
@@ -252,7 +289,13 @@
     dispatcher_.OnWaiterGone(id, waiter, MonotonicNow());
   });
   waiters_.emplace(waiter, aExchange);
-  dispatcher_.Submit(std::move(job), waiter, now);
+  dispatcher_.Submit(std::move(job), waiter, MonotonicNow());
+}
+
+bool
+JobEntry::EndsBeforeStop(const job::JobRequest& aJob) const
+{
+  return !stopping_ || aJob.Goal() <= stopBound_;
 }
 
 void
@@ -313,6 +356,12 @@
   aExchange.Reply(aReply.status, aReply.body, headers);
 }
 
+void
+JobEntry::WakeSoon()
+{
+  loop_.RunAfter(kWake, [this] { dispatcher_.OnWake(MonotonicNow()); });
+}
+
 void
 JobEntry::OnPlaced(const job::TaskPlaced& aEvent)
 {
@@ -370,6 +419,9 @@
 {
   auto now = MonotonicNow();
   dispatcher_.OnTick(now);
+  if (!early_.empty()) {
+    ServeEarly(now);
+  }
   links_.OnTick(now);
   if (now - callersCheckedAt_ >= kCallerCheck) {
     callersCheckedAt_ = now;
@@ -390,6 +442,7 @@
   Log::Write(Event::ProcessStopping);
   stopping_ = true;
   stopBeganAt_ = MonotonicNow();
+  stopBound_ = stopBeganAt_ + settings_.grace - kStopMargin;
   front_->CloseAfterAnswers();
   store_.Remove(kMembers, settings_.entry.Value(), [](wire::StoreStatus) {});
 }
@@ -397,9 +450,8 @@
 void
 JobEntry::CheckStop(MonotonicTime aNow)
 {
-  auto since = aNow - stopBeganAt_;
-  bool isOver = since > settings_.grace - kStopMargin;
-  bool isDone = since > kLeastStop && waiters_.empty();
+  bool isOver = aNow > stopBound_;
+  bool isDone = aNow - stopBeganAt_ > kLeastStop && waiters_.empty();
   if (!isOver && !isDone) {
     return;
   }
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace vanillaworks::entry {
 
@@ -36,14 +37,30 @@
   void Answer(WaiterId aWaiter,
               const job::JobRequest& aJob,
               const job::JobAnswer& aAnswer) override;
+  void WakeSoon() override;
   void OnPlaced(const job::TaskPlaced& aEvent) override;
   void OnEnded(const job::TaskEnded& aEvent) override;
 
 private:
   using Exchange = std::shared_ptr<service::LoopHttpExchange>;
 
+  /** Came before this process had heard of any configuration. */
+  struct EarlyRequest
+  {
+    Exchange exchange;
+    MonotonicTime arrival;
+  };
+
   void OnRequest(Exchange aExchange);
-  void OnJob(const Exchange& aExchange, const protocol::RouteRow& aRoute);
+  void KeepEarly(const Exchange& aExchange);
+  /** Serves what came early, or rejects what has waited too long. */
+  void ServeEarly(MonotonicTime aNow);
+  void Serve(const Exchange& aExchange, MonotonicTime aArrival);
+  void OnJob(const Exchange& aExchange,
+             const protocol::RouteRow& aRoute,
+             MonotonicTime aArrival);
+  /** A stopping process takes only what ends before its own end. */
+  bool EndsBeforeStop(const job::JobRequest& aJob) const;
   /** By the configuration in force, nobody serves the path. */
   void OnNoRoute(const Exchange& aExchange);
   void OnJobPath(const Exchange& aExchange, const SubmissionId& aJob);
@@ -76,9 +93,12 @@
   std::unique_ptr<service::LoopHttpServer> readiness_;
   std::unique_ptr<service::LoopHttpServer> metricsPage_;
   std::unordered_map<WaiterId, Exchange> waiters_;
+  std::vector<EarlyRequest> early_;
   std::uint64_t nextWaiter_ = 1;
   bool stopping_ = false;
   bool isMember_ = false;
+  /** When a stop ends, at the latest. */
+  MonotonicTime stopBound_;
   MonotonicTime stopBeganAt_;
   MonotonicTime callersCheckedAt_;
 };
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -49,6 +49,14 @@
   {
     world.OnAnswer(index, aWaiter, aAnswer);
   }
+  void WakeSoon() override
+  {
+    world.At(Milliseconds(5), [this, ofLife = life] {
+      if (life == ofLife) {
+        dispatcher->OnWake(world.now_);
+      }
+    });
+  }
   void OnPlaced(const job::TaskPlaced&) override {}
   void OnEnded(const job::TaskEnded&) override {}
 
@@ -287,6 +295,7 @@
   node.control = {};
   node.dispatcher = std::make_unique<job::JobDispatcher>(
     job::JobDispatcherLimits{}, node.control, random_(), node);
+  node.dispatcher->BeginWarmUp(now_);
   for (const auto& [waiter, id] : waiters) {
     AskAgain(id);
   }
