LibJob+Entry: Tell when a worker has room by the progress of what runs there

Change: what is left of a run follows from its progress; without one, a run past its estimate is expected to need a quarter of its time more.

--- a/Libraries/LibJob/Run.h
+++ b/Libraries/LibJob/Run.h
@@ -22,6 +22,10 @@
   Running
 };
 
+/** From this progress on it tells how long a run takes as a whole. */
+inline constexpr int kTellingPercent = 8;
+inline constexpr int kWholePercent = 100;
+
 /** One run at an agent, from its order until its end is certain. */
 struct Run
 {
--- a/Libraries/LibJob/RunKeeper.cpp
+++ b/Libraries/LibJob/RunKeeper.cpp
@@ -417,12 +417,10 @@
   if (aPercent != aRun.percent) {
     aRun.percent = aPercent;
     aRun.progressAt = aNow;
-    constexpr int kTelling = 8;
-    constexpr int kWhole = 100;
-    if (aPercent >= kTelling) {
+    if (aPercent >= kTellingPercent) {
       auto elapsed =
         std::chrono::duration_cast<Milliseconds>(aNow - aRun.calledAt);
-      condition_.OnProgress(aRun.estimate, elapsed * kWhole / aPercent, aNow);
+      condition_.OnProgress(aRun.estimate, elapsed * kWholePercent / aPercent, aNow);
     }
     return;
   }
--- a/Libraries/LibJob/RunKeeperQueue.cpp
+++ b/Libraries/LibJob/RunKeeperQueue.cpp
@@ -286,8 +286,18 @@
   constexpr std::int64_t kPermille = 1000;
   constexpr Milliseconds kLeast{ 5 };
   auto elapsed = std::chrono::duration_cast<Milliseconds>(aNow - aRun.calledAt);
+  if (aRun.percent >= kTellingPercent) {
+    auto worked = std::chrono::duration_cast<Milliseconds>(aRun.progressAt -
+                                                           aRun.calledAt);
+    auto whole = worked * kWholePercent / aRun.percent;
+    return std::max(whole - elapsed, kLeast);
+  }
   auto whole = aRun.estimate * condition_.SlownessPermille() / kPermille;
-  return std::max(whole - elapsed, kLeast);
+  if (whole > elapsed) {
+    return std::max(whole - elapsed, kLeast);
+  }
+  // Its estimate was too low: the longer it has run, the further off.
+  return std::max(elapsed / 4, kLeast);
 }
 
 Milliseconds
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -11,7 +11,10 @@
 namespace {
 constexpr Milliseconds kTick{ 25 };
 constexpr Milliseconds kWake{ 5 };
-/** The first configuration is there within a tenth of a second, as a rule. */
+/**
+ * A new process learns the configuration within a tenth of a second, from the
+ * store or an agent, or must be taken to be cut off from both.
+ */
 constexpr Milliseconds kEarlyWait{ 250 };
 constexpr std::size_t kMostEarly = 256;
 constexpr Milliseconds kCallerCheck{ 100 };
@@ -112,7 +115,9 @@
   if (!isListening) {
     return false;
   }
-  dispatcher_.BeginWarmUp(MonotonicNow());
+  auto now = MonotonicNow();
+  earlyUntil_ = now + kEarlyWait;
+  dispatcher_.BeginWarmUp(now);
   feed_.Start();
   members_.Start();
   KeepMembership();
@@ -166,11 +171,12 @@
 void
 JobEntry::KeepEarly(const Exchange& aExchange)
 {
-  if (early_.size() >= kMostEarly) {
+  auto now = MonotonicNow();
+  if (now > earlyUntil_ || early_.size() >= kMostEarly) {
     Reject(aExchange, "no_configuration");
     return;
   }
-  early_.push_back({ aExchange, MonotonicNow() });
+  early_.push_back({ aExchange, now });
 }
 
 void
@@ -181,7 +187,7 @@
   for (const auto& request : early) {
     if (control_.IsKnown()) {
       Serve(request.exchange, request.arrival);
-    } else if (aNow - request.arrival > kEarlyWait) {
+    } else if (aNow > earlyUntil_) {
       Reject(request.exchange, "no_configuration");
     } else {
       early_.push_back(request);
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -94,6 +94,7 @@
   std::unique_ptr<service::LoopHttpServer> metricsPage_;
   std::unordered_map<WaiterId, Exchange> waiters_;
   std::vector<EarlyRequest> early_;
+  MonotonicTime earlyUntil_;
   std::uint64_t nextWaiter_ = 1;
   bool stopping_ = false;
   bool isMember_ = false;
