Entry+platform: Count store calls, waits, runs and placement errors, by route

Tests: rejections of a burst come within a quarter of the goal; first jobs of a deployment wait for their first worker (fails without the warm-up: tried); DrainRate and AnswerTimes on their own.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -138,6 +138,13 @@
   Put(aEvent, aFields, LineWorth::Routine);
 }
 
+std::uint64_t
+Log::Dropped()
+{
+  std::scoped_lock lock(sMutex);
+  return sBuffer.Dropped();
+}
+
 void
 Log::Flush()
 {
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -4,6 +4,7 @@
 #include "LibCore/Event.h"
 #include "LibCore/LogBuffer.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -36,6 +37,9 @@
   /** For steps of what goes well: these are dropped first. Thread safe. */
   static void WriteRoutine(Event aEvent, std::initializer_list<Field> aFields);
 
+  /** Lines that were not written, of all events. Thread safe. */
+  static std::uint64_t Dropped();
+
   /**
    * Hands over what the reader takes without making the process wait. Thread
    * safe; to be called now and then, and before the process ends.
--- a/Libraries/LibJob/Job.h
+++ b/Libraries/LibJob/Job.h
@@ -31,6 +31,9 @@
   std::uint32_t failures = 0;
   /** Orders that found their room taken by others. */
   std::uint32_t misses = 0;
+  /** Of the latest order. */
+  MonotonicTime placedAt;
+  Milliseconds expected{ 0 };
   MonotonicTime unknownUntil;
   /** Workers where it failed. */
   std::set<UpstreamId> avoided;
--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -270,12 +270,16 @@
     aJob.started = true;
     return;
   }
+  auto since = aNow - task.placedAt;
   port_.OnEnded({ aJob.request.id,
+                  aJob.request.route.name,
                   aEnd.task.index,
                   aEnd.task.run,
                   aUpstream,
                   aEnd.outcome,
-                  Milliseconds(aEnd.elapsedMs) });
+                  Milliseconds(aEnd.elapsedMs),
+                  std::chrono::duration_cast<Milliseconds>(since),
+                  task.expected });
   Release(aJob, task);
   if (aEnd.outcome == RunOutcome::Done) {
     drainRate_.OnEnded(aNow);
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -84,6 +84,8 @@
     }
     task.state = TaskState::Ordered;
     task.upstream = place->upstream;
+    task.placedAt = aNow;
+    task.expected = place->endIn;
     ++task.run;
     ++aJob.out;
     ++aJob.perWorker[place->upstream];
--- a/Libraries/LibJob/JobEvent.h
+++ b/Libraries/LibJob/JobEvent.h
@@ -6,6 +6,7 @@
 #include "LibProtocol/RunOutcome.h"
 
 #include <cstdint>
+#include <string>
 
 namespace vanillaworks::job {
 
@@ -25,11 +26,17 @@
 struct TaskEnded
 {
   SubmissionId job;
+  std::string route;
   std::uint32_t task;
   std::uint32_t run;
   UpstreamId upstream;
   protocol::RunOutcome outcome;
+  /** From its start to its end, by the agent's clock. */
   Milliseconds elapsed;
+  /** From its order to this word of its end. */
+  Milliseconds sincePlaced;
+  /** The same as it was expected when it was placed. */
+  Milliseconds expected;
 };
 
 }
--- a/Libraries/LibJob/UpstreamView.h
+++ b/Libraries/LibJob/UpstreamView.h
@@ -33,6 +33,7 @@
   std::uint64_t LastSequence() const { return lastSequence_; }
 
   bool IsLinked() const { return linked_; }
+  MonotonicTime HeardAt() const { return heardAt_; }
   /** Takes orders and was heard of lately. */
   bool IsUsable(MonotonicTime aNow) const;
   const protocol::UpstreamStatus& Status() const { return status_; }
--- a/Libraries/LibService/ControlExchange.cpp
+++ b/Libraries/LibService/ControlExchange.cpp
@@ -19,6 +19,7 @@
   if (!view_.Adopt(std::move(aUpdate))) {
     return;
   }
+  adoptedAt_ = aNow;
   LogAdoption(before, view_.Current(), aFrom);
   onAdopted_(aNow);
 }
--- a/Libraries/LibService/ControlExchange.h
+++ b/Libraries/LibService/ControlExchange.h
@@ -34,10 +34,14 @@
                                            const std::string& aPeer,
                                            MonotonicTime aNow);
 
+  /** When news was last adopted. */
+  MonotonicTime AdoptedAt() const { return adoptedAt_; }
+
 private:
   job::ControlView& view_;
   OnAdopted onAdopted_;
   job::ControlPull pull_;
+  MonotonicTime adoptedAt_;
 };
 
 }
--- a/Libraries/LibService/Metrics.cpp
+++ b/Libraries/LibService/Metrics.cpp
@@ -61,7 +61,9 @@
 }
 
 prometheus::Histogram&
-Metrics::Latency(std::string_view aName)
+Metrics::Latency(std::string_view aName,
+                 const std::string& aLabel,
+                 const std::string& aValue)
 {
   const prometheus::Histogram::BucketBoundaries seconds{
     0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60
@@ -70,7 +72,7 @@
     .Name(std::string(aName))
     .Help(HelpOf(aName))
     .Register(*registry_)
-    .Add({}, seconds);
+    .Add(LabelsOf(aLabel, aValue), seconds);
 }
 
 std::string
--- a/Libraries/LibService/Metrics.h
+++ b/Libraries/LibService/Metrics.h
@@ -26,7 +26,9 @@
   prometheus::Gauge& Gauge(std::string_view aName);
   /** For what is only known when the page is asked for. */
   void SetGauge(std::string_view aName, std::uint64_t aValue);
-  prometheus::Histogram& Latency(std::string_view aName);
+  prometheus::Histogram& Latency(std::string_view aName,
+                                 const std::string& aLabel = {},
+                                 const std::string& aValue = {});
 
   /** The text exposition format of Prometheus, version 0.0.4. */
   std::string Text() const;
--- a/Libraries/LibService/MetricsCatalogue.h
+++ b/Libraries/LibService/MetricsCatalogue.h
@@ -31,7 +31,15 @@
   { "vanillaworks_table_pending", "operations that wait for the table" },
   { "vanillaworks_configuration_version", "configuration version in force" },
   { "vanillaworks_takeovers_total", "submissions taken over" },
-  { "vanillaworks_answer_seconds", "time from request to answer" },
+  { "vanillaworks_answer_seconds", "time from request to answer, by route" },
+  { "vanillaworks_waiting_seconds", "time from placing to start, by route" },
+  { "vanillaworks_running_seconds", "time of a run at its worker, by route" },
+  { "vanillaworks_placement_error_seconds",
+    "expected end of a run against the real one" },
+  { "vanillaworks_store_calls_total", "calls to the store, by outcome" },
+  { "vanillaworks_dropped_log_lines", "log lines that were not written" },
+  { "vanillaworks_configuration_age_ms", "since the last news was adopted" },
+  { "vanillaworks_upstream_age_ms", "oldest word of a linked upstream" },
 };
 
 }
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -40,7 +40,15 @@
             *this)
   , links_(aLoop.Base(), settings_.entries, control_, news_, keeper_)
   , runner_(aLoop)
-  , store_(aLoop, settings_.storeAddress)
+  , store_(aLoop,
+           settings_.storeAddress,
+           [this](wire::StoreStatus aStatus) {
+             metrics_
+               .Counter("vanillaworks_store_calls_total",
+                        "outcome",
+                        std::string(wire::StoreStatusName(aStatus)))
+               .Increment();
+           })
   , feed_(
       aLoop,
       store_,
@@ -97,6 +105,7 @@
   metrics_.SetGauge("vanillaworks_queued", keeper_.Queued());
   metrics_.SetGauge("vanillaworks_configuration_version",
                     control_.Current().version.Value());
+  metrics_.SetGauge("vanillaworks_dropped_log_lines", Log::Dropped());
   aExchange.Reply(kOk, metrics_.Text());
 }
 
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -3,8 +3,8 @@
 #include "LibCore/Log.h"
 #include "platform/OperatorRows.h"
 
+#include <algorithm>
 #include <charconv>
-#include <fmt/format.h>
 
 namespace vanillaworks::entry {
 
@@ -39,24 +39,11 @@
   return Incarnation(static_cast<std::uint64_t>(
     std::chrono::system_clock::now().time_since_epoch().count()));
 }
-
-std::string
-Text(std::int64_t aNumber)
-{
-  return std::to_string(aNumber);
-}
-
-std::string
-Text(Milliseconds aTime)
-{
-  return std::to_string(aTime.count());
-}
 }
 
 JobEntry::JobEntry(JobEntrySettings aSettings, service::EventLoop& aLoop)
   : settings_(std::move(aSettings))
   , loop_(aLoop)
-  , answerSeconds_(metrics_.Latency("vanillaworks_answer_seconds"))
   , news_(control_, [this](MonotonicTime aNow) { ServeEarly(aNow); })
   , dispatcher_(settings_.limits, control_, NewIncarnation().Value(), *this)
   , links_(aLoop.Base(),
@@ -65,7 +52,11 @@
            control_,
            news_,
            dispatcher_)
-  , store_(aLoop, settings_.storeAddress)
+  , store_(aLoop,
+           settings_.storeAddress,
+           [this](wire::StoreStatus aStatus) {
+             observer_.OnStoreCall(wire::StoreStatusName(aStatus));
+           })
   , feed_(
       aLoop,
       store_,
@@ -223,15 +214,9 @@
 void
 JobEntry::OnNoRoute(const Exchange& aExchange)
 {
-  constexpr const char* kReason = "no_such_queue";
-  metrics_.Counter("vanillaworks_refusals_total", "reason", kReason)
-    .Increment();
-  Log::Write(
-    Event::JobRejected,
-    { { "path", aExchange->Request().path },
-      { "host", aExchange->Host() },
-      { "reason", kReason },
-      { "version", std::to_string(control_.Current().version.Value()) } });
+  observer_.OnNoRoute(aExchange->Request().path,
+                      aExchange->Host(),
+                      control_.Current().version.Value());
   Send(*aExchange, wire::NoSuchQueue());
 }
 
@@ -272,10 +257,8 @@
   }
   auto parsed = wire::ParseJob(request.body);
   if (parsed.IsError()) {
-    auto name = std::string(wire::JobProblemName(parsed.Error()));
-    metrics_.Counter("vanillaworks_refusals_total", "reason", name).Increment();
-    Log::Write(Event::JobRejected,
-               { { "job", id->Value() }, { "reason", name } });
+    observer_.OnRejectedUnread(
+      "job", id->Value(), wire::JobProblemName(parsed.Error()));
     Send(*aExchange, wire::ReplyFor(parsed.Error()));
     return;
   }
@@ -308,12 +291,7 @@
 JobEntry::Reject(const Exchange& aExchange, std::string_view aReason)
 {
   constexpr Milliseconds kRetryAfter{ 1000 };
-  metrics_
-    .Counter("vanillaworks_refusals_total", "reason", std::string(aReason))
-    .Increment();
-  Log::Write(Event::JobRejected,
-             { { "path", aExchange->Request().path },
-               { "reason", std::string(aReason) } });
+  observer_.OnRejectedUnread("path", aExchange->Request().path, aReason);
   Send(*aExchange, wire::Rejection(aReason, kRetryAfter));
 }
 
@@ -322,27 +300,10 @@
                  const job::JobRequest& aJob,
                  const job::JobAnswer& aAnswer)
 {
-  auto now = MonotonicNow();
-  auto elapsed = std::chrono::duration_cast<Milliseconds>(now - aJob.arrival);
-  auto goal =
-    std::chrono::duration_cast<Milliseconds>(aJob.Goal() - aJob.arrival);
-  answerSeconds_.Observe(std::chrono::duration<double>(elapsed).count());
   auto reply = wire::ReplyFor(aAnswer);
-  auto reason = std::string(JobReasonName(aAnswer.reason));
-  bool isRejected = aAnswer.state == job::JobState::Rejected;
-  if (isRejected) {
-    metrics_.Counter("vanillaworks_refusals_total", "reason", reason)
-      .Increment();
-  }
-  Log::Write(isRejected ? Event::JobRejected : Event::JobAnswered,
-             { { "job", aJob.id.Value() },
-               { "route", aJob.route.name },
-               { "status", Text(std::int64_t{ reply.status }) },
-               { "reason", reason },
-               { "elapsed_ms", Text(elapsed) },
-               { "goal_ms", Text(goal) },
-               { "tasks", Text(std::int64_t{ aJob.tasks }) },
-               { "estimate_ms", Text(aJob.estimate) } });
+  auto elapsed =
+    std::chrono::duration_cast<Milliseconds>(MonotonicNow() - aJob.arrival);
+  observer_.OnAnswered(aJob, aAnswer, reply.status, elapsed);
   auto found = waiters_.find(aWaiter);
   if (found == waiters_.end()) {
     return;
@@ -368,36 +329,6 @@
   loop_.RunAfter(kWake, [this] { dispatcher_.OnWake(MonotonicNow()); });
 }
 
-void
-JobEntry::OnPlaced(const job::TaskPlaced& aEvent)
-{
-  metrics_.Counter("vanillaworks_starts_total").Increment();
-  Log::WriteRoutine(Event::TaskPlaced,
-                    { { "job", aEvent.job.Value() },
-                      { "task", Text(std::int64_t{ aEvent.task }) },
-                      { "run", Text(std::int64_t{ aEvent.run }) },
-                      { "upstream", aEvent.upstream.Value() },
-                      { "start_in_ms", Text(aEvent.startIn) },
-                      { "end_in_ms", Text(aEvent.endIn) } });
-}
-
-void
-JobEntry::OnEnded(const job::TaskEnded& aEvent)
-{
-  auto outcome = std::string(RunOutcomeName(aEvent.outcome));
-  if (aEvent.outcome != protocol::RunOutcome::Done) {
-    metrics_.Counter("vanillaworks_retries_total", "reason", outcome)
-      .Increment();
-  }
-  Log::WriteRoutine(Event::TaskEnded,
-                    { { "job", aEvent.job.Value() },
-                      { "task", Text(std::int64_t{ aEvent.task }) },
-                      { "run", Text(std::int64_t{ aEvent.run }) },
-                      { "upstream", aEvent.upstream.Value() },
-                      { "outcome", outcome },
-                      { "elapsed_ms", Text(aEvent.elapsed) } });
-}
-
 void
 JobEntry::OnReadiness(const Exchange& aExchange)
 {
@@ -413,11 +344,22 @@
     aExchange->Reply(kNotFound, "{}");
     return;
   }
-  metrics_.SetGauge("vanillaworks_links", links_.Up());
-  metrics_.SetGauge("vanillaworks_in_flight", waiters_.size());
-  metrics_.SetGauge("vanillaworks_configuration_version",
-                    control_.Current().version.Value());
-  aExchange->Reply(kOk, metrics_.Text());
+  auto now = MonotonicNow();
+  auto age = [now](MonotonicTime aSince) {
+    return std::chrono::duration_cast<Milliseconds>(now - aSince);
+  };
+  Milliseconds upstreamAge{ 0 };
+  for (const auto& [upstream, view] : dispatcher_.Upstreams()) {
+    if (view.IsLinked()) {
+      upstreamAge = std::max(upstreamAge, age(view.HeardAt()));
+    }
+  }
+  aExchange->Reply(kOk,
+                   observer_.Page({ links_.Up(),
+                                    waiters_.size(),
+                                    control_.Current().version.Value(),
+                                    age(news_.AdoptedAt()),
+                                    upstreamAge }));
 }
 
 void
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -6,9 +6,9 @@
 #include "LibService/ControlExchange.h"
 #include "LibService/EventLoop.h"
 #include "LibService/LoopHttpServer.h"
-#include "LibService/Metrics.h"
 #include "Services/Entry/JobEntryLinks.h"
 #include "Services/Entry/JobEntrySettings.h"
+#include "Services/Entry/JobObserver.h"
 #include "platform/JobCodec.h"
 #include "platform/StoreClient.h"
 #include "platform/TableFeed.h"
@@ -38,8 +38,14 @@
               const job::JobRequest& aJob,
               const job::JobAnswer& aAnswer) override;
   void WakeSoon() override;
-  void OnPlaced(const job::TaskPlaced& aEvent) override;
-  void OnEnded(const job::TaskEnded& aEvent) override;
+  void OnPlaced(const job::TaskPlaced& aEvent) override
+  {
+    observer_.OnPlaced(aEvent);
+  }
+  void OnEnded(const job::TaskEnded& aEvent) override
+  {
+    observer_.OnEnded(aEvent);
+  }
 
 private:
   using Exchange = std::shared_ptr<service::LoopHttpExchange>;
@@ -79,8 +85,7 @@
 
   JobEntrySettings settings_;
   service::EventLoop& loop_;
-  service::Metrics metrics_;
-  prometheus::Histogram& answerSeconds_;
+  JobObserver observer_;
   job::ControlView control_;
   service::ControlExchange news_;
   job::JobDispatcher dispatcher_;
--- a/Tests/LibJob/DecisionsTest.cpp
+++ b/Tests/LibJob/DecisionsTest.cpp
@@ -1,4 +1,6 @@
+#include "LibJob/AnswerTimes.h"
 #include "LibJob/ControlView.h"
+#include "LibJob/DrainRate.h"
 #include "LibJob/Placement.h"
 #include "LibJob/RunnerCondition.h"
 
@@ -206,3 +208,34 @@
   }
   CHECK(condition.SlownessPermille() < 2000);
 }
+
+TEST_CASE("the time that waiting takes follows from how fast tasks end")
+{
+  DrainRate rate;
+  auto now = kNow;
+  // Without ends it can't be told.
+  CHECK_FALSE(rate.TimeFor(8, now));
+  for (int i = 0; i < 400; ++i) {
+    now += Milliseconds(5);
+    rate.OnEnded(now);
+  }
+  CHECK(*rate.TimeFor(10, now) >= Milliseconds(40));
+  CHECK(*rate.TimeFor(10, now) <= Milliseconds(60));
+  // What ended long ago promises nothing.
+  now += Milliseconds(3000);
+  CHECK(*rate.TimeFor(10, now) > Milliseconds(5000));
+}
+
+TEST_CASE("an answer is taken for lost after four deviations, within bounds")
+{
+  AnswerTimes times;
+  CHECK(times.Timeout() == Milliseconds(60));
+  for (int i = 0; i < 50; ++i) {
+    times.Add(Milliseconds(2));
+  }
+  CHECK(times.Timeout() == Milliseconds(20));
+  for (int i = 0; i < 20; ++i) {
+    times.Add(Milliseconds(i % 2 == 0 ? 5 : 45));
+  }
+  CHECK(times.Timeout() == Milliseconds(60));
+}
--- a/Tests/LibJob/JobWorld.cpp
+++ b/Tests/LibJob/JobWorld.cpp
@@ -68,6 +68,7 @@
   /** Linked agents, and when they were last heard of. */
   std::map<int, MonotonicTime> links;
   std::uint64_t life = 0;
+  MonotonicTime startedAt;
 };
 
 struct JobWorld::AgentNode final : public job::RunKeeperPort
@@ -208,7 +209,9 @@
   }
   TellControl();
   Tick();
-  Run(Milliseconds(300));
+  if (options_.linksAfter.count() == 0) {
+    Run(Milliseconds(300));
+  }
 }
 
 JobWorld::~JobWorld() = default;
@@ -296,6 +299,7 @@
   node.dispatcher = std::make_unique<job::JobDispatcher>(
     job::JobDispatcherLimits{}, node.control, random_(), node);
   node.dispatcher->BeginWarmUp(now_);
+  node.startedAt = now_;
   for (const auto& [waiter, id] : waiters) {
     AskAgain(id);
   }
@@ -443,7 +447,8 @@
       auto found = entry->links.find(node->index);
       bool isCut = cuts_.contains({ entry->index, node->index });
       if (found == entry->links.end()) {
-        if (!isCut) {
+        bool isDialled = now_ - entry->startedAt >= options_.linksAfter;
+        if (!isCut && isDialled) {
           Link(entry->index, node->index);
         }
         continue;
@@ -592,6 +597,18 @@
   return static_cast<double>(inTime) / static_cast<double>(callers_.size());
 }
 
+double
+JobWorld::RejectedWithin(Milliseconds aTime) const
+{
+  std::size_t early = 0;
+  for (const auto& [id, outcome] : outcomes_) {
+    bool isRejected = outcome.state == job::JobState::Rejected;
+    early += isRejected && outcome.elapsed <= aTime ? 1 : 0;
+  }
+  auto all = std::max<std::size_t>(Count(job::JobState::Rejected), 1);
+  return static_cast<double>(early) / static_cast<double>(all);
+}
+
 std::size_t
 JobWorld::Count(job::JobState aState) const
 {
--- a/Tests/LibJob/JobWorld.h
+++ b/Tests/LibJob/JobWorld.h
@@ -27,6 +27,8 @@
   double lostCalls = 0;
   /** Of these, the share that is carried out seconds later. */
   double lateCalls = 0;
+  /** From an entry's start until agents link to it. */
+  Milliseconds linksAfter{ 0 };
 };
 
 struct JobLoad
@@ -81,6 +83,8 @@
   /** Share of jobs that were completed within their goal. */
   double ServedInTime() const;
   std::size_t Count(job::JobState aState) const;
+  /** Share of the rejected that were told so within that time. */
+  double RejectedWithin(Milliseconds aTime) const;
 
 private:
   struct EntryNode;
--- a/Tests/LibJob/JobWorldTest.cpp
+++ b/Tests/LibJob/JobWorldTest.cpp
@@ -38,6 +38,8 @@
   world.Run(Milliseconds(6000));
   CHECK(world.Broken() == kNothing);
   CHECK(world.Count(job::JobState::Rejected) > 500);
+  // Early enough to turn elsewhere: within a quarter of the time to the goal.
+  CHECK(world.RejectedWithin(Milliseconds(55)) > 0.9);
   // What is taken on is served: little is given up after it has run.
   CHECK(world.Count(job::JobState::GivenUp) < 20);
   CHECK(world.Count(job::JobState::Completed) > 250);
@@ -60,6 +62,18 @@
   CHECK(world.Count(job::JobState::Rejected) == 0);
 }
 
+TEST_CASE("a new deployment's first jobs wait for their first worker")
+{
+  WorldOptions options;
+  options.linksAfter = Milliseconds(150);
+  JobWorld world(options);
+  Play(world, { 4, Milliseconds(300) }, 50, Milliseconds(200));
+  world.Run(Milliseconds(3000));
+  CHECK(world.Broken() == kNothing);
+  // Speeds are not known yet, so that not all of them end in time.
+  CHECK(world.Count(job::JobState::Completed) == 10);
+}
+
 TEST_CASE("urgent jobs keep their share beside long ones at full load")
 {
   JobWorld world({});
