LibJob+LibService: Split the run keeper, read shared settings and watch peers in one place

JobProcessSettings reads what both programs are told; PeerWatch follows a link's signs of life for both. No behaviour changes. CatalogueTest looks for the shared keys too, so that the examples still have to show each of them.

--- a/Libraries/LibJob/RunKeeper.h
+++ b/Libraries/LibJob/RunKeeper.h
@@ -153,7 +153,11 @@
   void LoseTouch(MonotonicTime aNow);
   /** None but these can run any more. */
   void LoseRunsBut(const std::set<RunKey>& aArrived, MonotonicTime aNow);
+  /** Not every runner says when it was born: then it is taken for the same. */
+  static bool IsOfLife(const HoldAnswer& aAnswer, const RunnerReport& aReport);
   void RaiseToken(std::uint64_t aBy);
+  /** Beyond what a former process of ours may have taken. */
+  void RaiseTokenFar();
   void TakeHold(const HoldAnswer& aAnswer,
                 const PendingHold& aHold,
                 MonotonicTime aNow);
@@ -188,6 +192,8 @@
   void GiveBackQueue(protocol::RunOutcome aWhy, MonotonicTime aNow);
   void Stop(Run& aRun, protocol::RunOutcome aAs, MonotonicTime aNow);
   void CallStop(Run& aRun);
+  /** Of a run that this process did not start. */
+  void CallForeignStop(const RunKey& aKey);
   void End(const RunKey& aKey,
            protocol::RunOutcome aOutcome,
            MonotonicTime aNow);
--- a/Libraries/LibJob/RunKeeperQueue.cpp
+++ b/Libraries/LibJob/RunKeeperQueue.cpp
@@ -287,8 +287,8 @@
   constexpr Milliseconds kLeast{ 5 };
   auto elapsed = std::chrono::duration_cast<Milliseconds>(aNow - aRun.calledAt);
   if (aRun.percent >= kTellingPercent) {
-    auto worked = std::chrono::duration_cast<Milliseconds>(aRun.progressAt -
-                                                           aRun.calledAt);
+    auto worked =
+      std::chrono::duration_cast<Milliseconds>(aRun.progressAt - aRun.calledAt);
     auto whole = worked * kWholePercent / aRun.percent;
     return std::max(whole - elapsed, kLeast);
   }
--- /dev/null
+++ b/Libraries/LibService/JobProcessSettings.cpp
@@ -0,0 +1,33 @@
+#include "LibService/JobProcessSettings.h"
+
+namespace vanillaworks::service {
+
+namespace {
+constexpr std::int64_t kMaxRetryMs = 60'000;
+constexpr std::int64_t kMaxGraceSeconds = 600;
+}
+
+JobProcessSettings
+JobProcessSettings::Read(SettingsReader& aReader)
+{
+  JobProcessSettings settings;
+  aReader.RequireString("deployment");
+  settings.storeAddress = aReader.RequireString("store_address");
+  settings.metricsAddress = aReader.GetString("metrics_address", "");
+  auto retry = aReader.GetMilliseconds(
+    "caller_retry_ms", Milliseconds{ 1300 }, { 500, kMaxRetryMs });
+  auto lease = aReader.GetMilliseconds(
+    "lease_ms", Milliseconds{ 1000 }, { 200, kMaxRetryMs });
+  settings.bounds = job::RunBounds::Of(retry, lease);
+  settings.grace = std::chrono::seconds(aReader.GetInteger(
+    "grace_s", settings.grace.count(), { 1, kMaxGraceSeconds }));
+  auto format = aReader.GetString("log_format", "json");
+  if (format != "json" && format != "text") {
+    aReader.Contradiction("log_format", "must be \"json\" or \"text\"");
+  }
+  settings.logFormat =
+    format == "text" ? LogFormat::Text : LogFormat::JsonLines;
+  return settings;
+}
+
+}
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -41,7 +41,7 @@
   , links_(aLoop.Base(), settings_.entries, control_, news_, keeper_)
   , runner_(aLoop)
   , store_(aLoop,
-           settings_.storeAddress,
+           settings_.process.storeAddress,
            [this](wire::StoreStatus aStatus) {
              metrics_
                .Counter("vanillaworks_store_calls_total",
@@ -78,11 +78,11 @@
     return false;
   }
   reports_ = reports.ReleaseValue();
-  if (!settings_.metricsAddress.empty()) {
+  if (!settings_.process.metricsAddress.empty()) {
     auto page = service::LoopHttpServer::Create(
-      loop_.Base(), { settings_.metricsAddress }, [this](Exchange aExchange) {
-        OnMetrics(*aExchange);
-      });
+      loop_.Base(),
+      { settings_.process.metricsAddress },
+      [this](Exchange aExchange) { OnMetrics(*aExchange); });
     if (page.IsError()) {
       return false;
     }
@@ -270,7 +270,7 @@
 void
 JobAgent::CheckStop(MonotonicTime aNow)
 {
-  bool isOver = aNow - stopBeganAt_ > settings_.grace - kStopMargin;
+  bool isOver = aNow - stopBeganAt_ > settings_.process.grace - kStopMargin;
   if (!keeper_.IsIdle() && !isOver) {
     return;
   }
--- a/Services/Agent/JobAgentLinks.cpp
+++ b/Services/Agent/JobAgentLinks.cpp
@@ -58,12 +58,7 @@
                       Session& aSession,
                       protocol::Message aMessage)
 {
-  auto now = MonotonicNow();
-  protocol::Header header;
-  header.sentAt = ToMicroseconds(now);
-  header.echo = aSession.peerSentAt;
-  header.controlRevision = control_.Revision();
-  aSession.lastSent = now;
+  auto header = aSession.watch.Send(control_.Revision(), MonotonicNow());
   hub_.Send(aLink, { header, std::move(aMessage) });
 }
 
@@ -111,9 +106,8 @@
     auto linkId = hub_.Dial(address);
     schedule.OnDialled(aNow);
     if (linkId) {
-      Session session;
+      Session session(aNow);
       session.address = address;
-      session.lastReceived = aNow;
       sessions_.emplace(*linkId, std::move(session));
     }
   }
@@ -123,11 +117,11 @@
 JobAgentLinks::Beat(link::LinkId aLink, Session& aSession, MonotonicTime aNow)
 {
   auto patience = aSession.up ? kSilence : kDialTimeout;
-  if (aNow - aSession.lastReceived > patience) {
+  if (aSession.watch.IsSilent(patience, aNow)) {
     if (aSession.up) {
       Log::Write(Event::LinkSilent, { { "address", aSession.address } });
     }
-    aSession.lastReceived = aNow;
+    aSession.watch.Restart(aNow);
     hub_.Close(aLink);
     return;
   }
@@ -143,7 +137,7 @@
   }
   auto interval =
     keeper_.HasWorkFor(aSession.entry) ? kHeartbeat : kIdleHeartbeat;
-  if (aNow - aSession.lastSent >= interval) {
+  if (aSession.watch.IsHeartbeatDue(interval, aNow)) {
     SendOn(aLink, aSession, protocol::Heartbeat{ false });
   }
 }
@@ -157,9 +151,10 @@
   }
   auto& session = found->second;
   session.up = true;
-  session.lastReceived = MonotonicNow();
+  auto now = MonotonicNow();
+  session.watch.Restart(now);
   targets_[session.address].OnUp();
-  SendStatus(aLink, session, session.lastReceived);
+  SendStatus(aLink, session, now);
 }
 
 void
@@ -171,8 +166,7 @@
   }
   auto& session = found->second;
   auto now = MonotonicNow();
-  session.lastReceived = now;
-  session.peerSentAt = aFrame.header.sentAt;
+  session.watch.Receive(aFrame.header, now);
   if (const auto* resume = std::get_if<protocol::RunResume>(&aFrame.message)) {
     OnResume(aLink, session, *resume, now);
   }
--- a/Services/Agent/JobAgentLinks.h
+++ b/Services/Agent/JobAgentLinks.h
@@ -9,6 +9,7 @@
 #include "LibLink/LinkHub.h"
 #include "LibLink/LinkObserver.h"
 #include "LibService/ControlExchange.h"
+#include "LibService/PeerWatch.h"
 
 #include <functional>
 #include <map>
@@ -44,13 +45,16 @@
 private:
   struct Session
   {
+    explicit Session(MonotonicTime aNow)
+      : watch(aNow)
+    {
+    }
+
+    service::PeerWatch watch;
     std::string address;
     bool up = false;
     /** Empty before it has said who it is. */
     EntryId entry;
-    std::int64_t peerSentAt = 0;
-    MonotonicTime lastReceived;
-    MonotonicTime lastSent;
     std::uint64_t sentStatus = 0;
     MonotonicTime statusSentAt;
   };
--- a/Services/Agent/Main.cpp
+++ b/Services/Agent/Main.cpp
@@ -35,7 +35,7 @@
 int
 ServeOnPlatform(agent::JobAgentSettings aSettings, const std::string& aPath)
 {
-  Log::SetFormat(aSettings.logFormat);
+  Log::SetFormat(aSettings.process.logFormat);
   Log::SetProcessName("agent/" + aSettings.upstream.Value());
   service::EventLoop loop;
   agent::JobAgent app(std::move(aSettings), loop);
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -53,7 +53,7 @@
            news_,
            dispatcher_)
   , store_(aLoop,
-           settings_.storeAddress,
+           settings_.process.storeAddress,
            [this](wire::StoreStatus aStatus) {
              observer_.OnStoreCall(wire::StoreStatusName(aStatus));
            })
@@ -96,11 +96,11 @@
                  [this](Exchange aExchange) { OnRequest(aExchange); });
   readiness_ = serve(settings_.readinessAddress,
                      [this](Exchange aExchange) { OnReadiness(aExchange); });
-  if (!settings_.metricsAddress.empty()) {
-    metricsPage_ = serve(settings_.metricsAddress,
+  if (!settings_.process.metricsAddress.empty()) {
+    metricsPage_ = serve(settings_.process.metricsAddress,
                          [this](Exchange aExchange) { OnMetrics(aExchange); });
   }
-  bool hasPages = settings_.metricsAddress.empty() || metricsPage_;
+  bool hasPages = settings_.process.metricsAddress.empty() || metricsPage_;
   bool isListening = front_ && readiness_ && hasPages &&
                      !links_.Listen(settings_.linkAddress).IsError();
   if (!isListening) {
@@ -390,7 +390,7 @@
   Log::Write(Event::ProcessStopping);
   stopping_ = true;
   stopBeganAt_ = MonotonicNow();
-  stopBound_ = stopBeganAt_ + settings_.grace - kStopMargin;
+  stopBound_ = stopBeganAt_ + settings_.process.grace - kStopMargin;
   front_->CloseAfterAnswers();
   store_.Remove(kMembers, settings_.entry.Value(), [](wire::StoreStatus) {});
 }
--- a/Services/Entry/JobEntryLinks.cpp
+++ b/Services/Entry/JobEntryLinks.cpp
@@ -38,12 +38,7 @@
 JobEntryLinks::SendOn(link::LinkId aLink, protocol::Message aMessage)
 {
   auto& session = sessions_.at(aLink);
-  auto now = MonotonicNow();
-  protocol::Header header;
-  header.sentAt = ToMicroseconds(now);
-  header.echo = session.peerSentAt;
-  header.controlRevision = control_.Revision();
-  session.lastSent = now;
+  auto header = session.watch.Send(control_.Revision(), MonotonicNow());
   hub_.Send(aLink, { header, std::move(aMessage) });
 }
 
@@ -63,17 +58,17 @@
 JobEntryLinks::OnTick(MonotonicTime aNow)
 {
   for (auto& [linkId, session] : sessions_) {
-    if (aNow - session.lastReceived > kSilence) {
+    if (session.watch.IsSilent(kSilence, aNow)) {
       Log::Write(Event::LinkSilent,
                  { { "upstream", session.upstream.Value() } });
-      session.lastReceived = aNow;
+      session.watch.Restart(aNow);
       hub_.Close(linkId);
       continue;
     }
     bool hasWork = dispatcher_.HasOutstanding(session.upstream);
     auto interval = hasWork ? kHeartbeat : kIdleHeartbeat;
     bool isKnown = !session.upstream.Value().empty();
-    if (isKnown && aNow - session.lastSent >= interval) {
+    if (isKnown && session.watch.IsHeartbeatDue(interval, aNow)) {
       SendOn(linkId, protocol::Heartbeat{ false });
     }
   }
@@ -82,10 +77,7 @@
 void
 JobEntryLinks::OnLinkUp(link::LinkId aLink, link::LinkRole)
 {
-  Session session;
-  session.lastReceived = MonotonicNow();
-  session.lastSent = session.lastReceived;
-  sessions_.emplace(aLink, std::move(session));
+  sessions_.emplace(aLink, Session(MonotonicNow()));
 }
 
 void
@@ -97,8 +89,7 @@
   }
   auto& session = found->second;
   auto now = MonotonicNow();
-  session.lastReceived = now;
-  session.peerSentAt = aFrame.header.sentAt;
+  session.watch.Receive(aFrame.header, now);
   if (const auto* status =
         std::get_if<protocol::UpstreamStatus>(&aFrame.message)) {
     OnStatus(aLink, session, *status, now);
--- a/Services/Entry/JobEntryLinks.h
+++ b/Services/Entry/JobEntryLinks.h
@@ -8,6 +8,7 @@
 #include "LibLink/LinkHub.h"
 #include "LibLink/LinkObserver.h"
 #include "LibService/ControlExchange.h"
+#include "LibService/PeerWatch.h"
 
 #include <map>
 #include <string>
@@ -45,11 +46,14 @@
 private:
   struct Session
   {
+    explicit Session(MonotonicTime aNow)
+      : watch(aNow)
+    {
+    }
+
+    service::PeerWatch watch;
     /** Empty before its hello. */
     UpstreamId upstream;
-    std::int64_t peerSentAt = 0;
-    MonotonicTime lastReceived;
-    MonotonicTime lastSent;
   };
 
   void SendOn(link::LinkId aLink, protocol::Message aMessage);
--- a/Services/Entry/JobEntrySettings.h
+++ b/Services/Entry/JobEntrySettings.h
@@ -2,11 +2,10 @@
 #define Services_Entry_JobEntrySettings_h
 
 #include "LibCore/Ids.h"
-#include "LibCore/Log.h"
 #include "LibCore/Result.h"
 #include "LibCore/SettingsReader.h"
-#include "LibCore/Time.h"
 #include "LibJob/JobDispatcher.h"
+#include "LibService/JobProcessSettings.h"
 
 #include <string>
 #include <vector>
@@ -16,6 +15,7 @@
 /** Settings of an entry on the users' platform. */
 struct JobEntrySettings
 {
+  service::JobProcessSettings process;
   EntryId entry;
   FailureDomainId domain;
   /** Addresses are "host:port" with a numeric host. */
@@ -24,13 +24,7 @@
   std::string linkAddress;
   /** Where agents reach linkAddress, as the list of entries tells them. */
   std::string advertisedAddress;
-  std::string storeAddress;
-  /** Empty for none. */
-  std::string metricsAddress;
   job::JobDispatcherLimits limits;
-  /** From SIGTERM until the process must be gone. */
-  std::chrono::seconds grace{ 6 };
-  LogFormat logFormat = LogFormat::JsonLines;
 
   static Result<JobEntrySettings, std::vector<SettingsIssue>> Read(
     SettingsReader aReader);
--- a/Services/Entry/Main.cpp
+++ b/Services/Entry/Main.cpp
@@ -18,12 +18,24 @@
 
 constexpr int kExitUsage = 2;
 
+LogFormat
+FormatOf(const entry::EntrySettings& aSettings)
+{
+  return aSettings.logFormat;
+}
+
+LogFormat
+FormatOf(const entry::JobEntrySettings& aSettings)
+{
+  return aSettings.process.logFormat;
+}
+
 /** App is EntryApp or JobEntry, each with its settings. */
 template<typename App, typename Settings>
 int
 Serve(Settings aSettings, const std::string& aPath)
 {
-  Log::SetFormat(aSettings.logFormat);
+  Log::SetFormat(FormatOf(aSettings));
   Log::SetProcessName("entry/" + aSettings.entry.Value());
   service::EventLoop loop;
   App app(std::move(aSettings), loop);
--- a/Tests/LibCore/CatalogueTest.cpp
+++ b/Tests/LibCore/CatalogueTest.cpp
@@ -74,6 +74,15 @@
   }
 }
 
+namespace {
+std::set<std::string>
+KeysReadBy(const std::string& aSource)
+{
+  std::regex pattern("(?:Require|Get|read)[A-Za-z]*\\(\\s*\"([a-z_]+)\"");
+  return FindAll(ReadFile(aSource), pattern);
+}
+}
+
 TEST_CASE("each example of settings shows every key that is read")
 {
   for (const auto& [source, example] :
@@ -85,10 +94,11 @@
                     "Settings/job-entry.example.json" },
          std::pair{ "Services/Agent/JobAgentSettings.cpp",
                     "Settings/job-agent.example.json" } }) {
-    auto keys =
-      FindAll(ReadFile(source),
-              std::regex("(?:Require|Get|read)[A-Za-z]*\\(\\s*\"([a-z_]"
-                         "+)\""));
+    auto keys = KeysReadBy(source);
+    if (ReadFile(source).find("JobProcessSettings::Read") !=
+        std::string::npos) {
+      keys.merge(KeysReadBy("Libraries/LibService/JobProcessSettings.cpp"));
+    }
     auto text = ReadFile(example);
     CHECK(keys.size() > 10);
     for (const auto& key : keys) {
