LibService+Services: Take over what a settings file may change on SIGHUP

Change: the bound on a stop and the format of logs are taken over; E104 says 'applied' or 'needs_restart'. Weighed and left: bounds on runs, since processes reload at different moments and with different bounds a task could run twice.

--- a/Libraries/LibJob/RunBounds.h
+++ b/Libraries/LibJob/RunBounds.h
@@ -19,6 +19,8 @@
   /** From the loss of an agent until nothing that it was given can run. */
   Milliseconds lostAgent;
 
+  friend bool operator==(const RunBounds&, const RunBounds&) = default;
+
   /**
    * aCallerRetry: after how long a caller without an answer asks elsewhere.
    * aLongestLease: what the runner allows.
--- a/Libraries/LibService/JobProcessSettings.cpp
+++ b/Libraries/LibService/JobProcessSettings.cpp
@@ -30,4 +30,16 @@
   return settings;
 }
 
+void
+JobProcessSettings::Reload(const JobProcessSettings& aNew)
+{
+  grace = aNew.grace;
+  logFormat = aNew.logFormat;
+  Log::SetFormat(logFormat);
+  bool isSame = storeAddress == aNew.storeAddress &&
+                metricsAddress == aNew.metricsAddress && bounds == aNew.bounds;
+  Log::Write(Event::SettingsReloaded,
+             { { "outcome", isSame ? "applied" : "needs_restart" } });
+}
+
 }
--- a/Libraries/LibService/JobProcessSettings.h
+++ b/Libraries/LibService/JobProcessSettings.h
@@ -24,6 +24,13 @@
 
   /** Issues are kept by the reader. */
   static JobProcessSettings Read(SettingsReader& aReader);
+
+  /**
+   * Takes what may change while the process runs: the bound on a graceful stop
+   * and the format of logs. Bounds on runs may not: while some processes had
+   * the old ones, a task could run twice. Logs what came of it.
+   */
+  void Reload(const JobProcessSettings& aNew);
 };
 
 }
--- a/Libraries/LibService/SettingsReport.h
+++ b/Libraries/LibService/SettingsReport.h
@@ -4,6 +4,7 @@
 #include "LibCore/SettingsIssue.h"
 #include "LibCore/SettingsReader.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,19 +18,32 @@
 void
 LogReload(const std::vector<SettingsIssue>& aIssues);
 
-/** Reads the settings file again; what a process can't use stays as it was. */
+/** Reads the settings file again; nothing, and a log line, if it is no good. */
 template<typename Settings>
-void
-CheckSettings(const std::string& aPath)
+std::optional<Settings>
+ReadAgain(const std::string& aPath)
 {
   auto reader = SettingsReader::FromFile(aPath);
   if (reader.IsError()) {
     LogReload({ reader.Error() });
-    return;
+    return {};
   }
   auto settings = Settings::Read(reader.ReleaseValue());
-  LogReload(settings.IsError() ? settings.Error()
-                               : std::vector<SettingsIssue>{});
+  if (settings.IsError()) {
+    LogReload(settings.Error());
+    return {};
+  }
+  return settings.ReleaseValue();
+}
+
+/** Only checks the file: the process's settings stay as they were. */
+template<typename Settings>
+void
+CheckSettings(const std::string& aPath)
+{
+  if (ReadAgain<Settings>(aPath)) {
+    LogReload({});
+  }
 }
 
 }
--- a/Services/Agent/Main.cpp
+++ b/Services/Agent/Main.cpp
@@ -39,8 +39,12 @@
   Log::SetProcessName("agent/" + aSettings.upstream.Value());
   service::EventLoop loop;
   agent::JobAgent app(std::move(aSettings), loop);
-  loop.OnReloadSignal(
-    [&aPath] { service::CheckSettings<agent::JobAgentSettings>(aPath); });
+  loop.OnReloadSignal([&aPath, &app] {
+    auto settings = service::ReadAgain<agent::JobAgentSettings>(aPath);
+    if (settings) {
+      app.Reload(*settings);
+    }
+  });
   return RunApp(app, loop);
 }
 
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -29,6 +29,11 @@
 
   /** Opens the ports and joins the others. False if a port is taken. */
   bool Start();
+  /** The settings file was read again. */
+  void Reload(const JobEntrySettings& aSettings)
+  {
+    settings_.process.Reload(aSettings.process);
+  }
   /** Graceful; the loop is stopped when it is done or the bound is reached. */
   void BeginStop();
 
--- a/Services/Entry/Main.cpp
+++ b/Services/Entry/Main.cpp
@@ -30,6 +30,21 @@
   return aSettings.process.logFormat;
 }
 
+void
+Reload(entry::EntryApp&, const std::string& aPath)
+{
+  service::CheckSettings<entry::EntrySettings>(aPath);
+}
+
+void
+Reload(entry::JobEntry& aApp, const std::string& aPath)
+{
+  auto settings = service::ReadAgain<entry::JobEntrySettings>(aPath);
+  if (settings) {
+    aApp.Reload(*settings);
+  }
+}
+
 /** App is EntryApp or JobEntry, each with its settings. */
 template<typename App, typename Settings>
 int
@@ -40,7 +55,7 @@
   service::EventLoop loop;
   App app(std::move(aSettings), loop);
   loop.OnStopSignal([&app] { app.BeginStop(); });
-  loop.OnReloadSignal([&aPath] { service::CheckSettings<Settings>(aPath); });
+  loop.OnReloadSignal([&app, &aPath] { Reload(app, aPath); });
   if (!app.Start()) {
     fmt::print(stderr, "can't open a listening address\n");
     return EXIT_FAILURE;
