LibProtocol+Services: Send an upstream's figures without what describes it

Change: UpstreamFigures; the whole UpstreamStatus goes out on a new link and when the description changes. Test: FrameCodecTest.cpp, less than half the bytes.

--- a/Libraries/LibProtocol/Message.h
+++ b/Libraries/LibProtocol/Message.h
@@ -19,6 +19,7 @@
 #include "LibProtocol/RunResume.h"
 #include "LibProtocol/Start.h"
 #include "LibProtocol/TaskResult.h"
+#include "LibProtocol/UpstreamFigures.h"
 #include "LibProtocol/UpstreamStatus.h"
 #include "LibProtocol/Welcome.h"
 
@@ -49,7 +50,8 @@
                              RunReport,
                              RunCancel,
                              ControlUpdate,
-                             ControlRequest>;
+                             ControlRequest,
+                             UpstreamFigures>;
 
 /** The type's name, for metrics. Thread safe. */
 inline std::string
@@ -76,7 +78,8 @@
     "run_report",
     "run_cancel",
     "control_update",
-    "control_request"
+    "control_request",
+    "upstream_figures"
   };
   return kNames[aMessage.index()];
 }
--- a/Libraries/LibProtocol/UpstreamStatus.h
+++ b/Libraries/LibProtocol/UpstreamStatus.h
@@ -2,6 +2,7 @@
 #define Libraries_LibProtocol_UpstreamStatus_h
 
 #include "LibCore/Ids.h"
+#include "LibProtocol/UpstreamFigures.h"
 
 #include <cstdint>
 #include <msgpack.hpp>
@@ -11,7 +12,7 @@
 namespace vanillaworks::protocol {
 
 /** Agent to entry: its upstream's identity, room and condition. */
-struct UpstreamStatus
+struct UpstreamStatus : UpstreamFigures
 {
   UpstreamId upstream;
   /** The agent process's life. */
@@ -23,36 +24,25 @@
   std::int64_t cpu = 0;
   std::int64_t memory = 0;
   std::int64_t accelerators = 0;
-  std::int64_t cpuFree = 0;
-  std::int64_t memoryFree = 0;
-  std::int64_t acceleratorsFree = 0;
-  /** Until a task of usual size could start, behind what waits. */
-  std::int64_t startInMs = 0;
-  /** Real time of runs by estimated time, in thousandths. */
-  std::int64_t slowness = 1000;
-  /** Takes orders: its runner is known, stays, and its domain is open. */
-  bool accepting = false;
-  /** Fails or stalls what it starts; to be given single trials. */
-  bool suspect = false;
-  /** The sequence of the latest order that these figures include. */
-  std::uint64_t ordersSeen = 0;
-
-  MSGPACK_DEFINE_ARRAY(upstream,
+
+  /** Whether they differ in their figures only. */
+  bool DescribesSame(const UpstreamStatus& aOther) const
+  {
+    return upstream == aOther.upstream && incarnation == aOther.incarnation &&
+           service == aOther.service && domain == aOther.domain &&
+           labels == aOther.labels && cpu == aOther.cpu &&
+           memory == aOther.memory && accelerators == aOther.accelerators;
+  }
+
+  MSGPACK_DEFINE_ARRAY(MSGPACK_BASE_ARRAY(UpstreamFigures),
+                       upstream,
                        incarnation,
                        service,
                        domain,
                        labels,
                        cpu,
                        memory,
-                       accelerators,
-                       cpuFree,
-                       memoryFree,
-                       acceleratorsFree,
-                       startInMs,
-                       slowness,
-                       accepting,
-                       suspect,
-                       ordersSeen)
+                       accelerators)
 };
 
 }
--- a/Services/Agent/JobAgentLinks.cpp
+++ b/Services/Agent/JobAgentLinks.cpp
@@ -69,7 +69,15 @@
 {
   aSession.sentStatus = keeper_.StatusRevision();
   aSession.statusSentAt = aNow;
-  SendOn(aLink, aSession, keeper_.Status(aSession.entry, aNow));
+  auto status = keeper_.Status(aSession.entry, aNow);
+  bool isDescribed =
+    aSession.described && aSession.described->DescribesSame(status);
+  if (isDescribed) {
+    SendOn(aLink, aSession, protocol::UpstreamFigures(status));
+    return;
+  }
+  aSession.described = status;
+  SendOn(aLink, aSession, std::move(status));
 }
 
 void
--- a/Services/Agent/JobAgentLinks.h
+++ b/Services/Agent/JobAgentLinks.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -56,6 +57,8 @@
     /** Empty before it has said who it is. */
     EntryId entry;
     std::uint64_t sentStatus = 0;
+    /** As it was last described there. */
+    std::optional<protocol::UpstreamStatus> described;
     MonotonicTime statusSentAt;
   };
 
--- a/Services/Entry/JobEntryLinks.cpp
+++ b/Services/Entry/JobEntryLinks.cpp
@@ -94,6 +94,12 @@
         std::get_if<protocol::UpstreamStatus>(&aFrame.message)) {
     OnStatus(aLink, session, *status, now);
   }
+  const auto* figures = std::get_if<protocol::UpstreamFigures>(&aFrame.message);
+  if (figures && !session.upstream.Value().empty()) {
+    auto status = dispatcher_.Upstreams().at(session.upstream).Status();
+    static_cast<protocol::UpstreamFigures&>(status) = *figures;
+    OnStatus(aLink, session, status, now);
+  }
   bool isCurrent =
     !session.upstream.Value().empty() && byUpstream_[session.upstream] == aLink;
   if (!isCurrent) {
--- a/Tests/LibProtocol/FrameCodecTest.cpp
+++ b/Tests/LibProtocol/FrameCodecTest.cpp
@@ -93,3 +93,38 @@
   REQUIRE(frame.IsError());
   CHECK(frame.Error() != FrameError::TooLarge);
 }
+
+TEST_CASE("an upstream's figures travel without what describes it")
+{
+  UpstreamStatus status;
+  status.upstream = UpstreamId("side-promenade-4");
+  status.service = "tally-svc";
+  status.domain = FailureDomainId("promenade");
+  status.labels = { "a", "r1-3" };
+  status.cpu = 64'000;
+  status.cpuFree = 12'400;
+  status.startInMs = 35;
+  status.accepting = true;
+  status.ordersSeen = 70'000;
+  std::string whole;
+  AppendFrame({ {}, status }, whole);
+  std::string figures;
+  AppendFrame({ {}, UpstreamFigures(status) }, figures);
+  CHECK(figures.size() * 2 < whole.size());
+
+  FrameDecoder decoder;
+  decoder.Append(whole + figures);
+  auto first = decoder.Next().ReleaseValue();
+  auto second = decoder.Next().ReleaseValue();
+  REQUIRE(first);
+  REQUIRE(second);
+  auto got = std::get<UpstreamStatus>(first->message);
+  CHECK(got.DescribesSame(status));
+  CHECK(got.startInMs == 35);
+  auto change = std::get<UpstreamFigures>(second->message);
+  change.cpuFree = 0;
+  static_cast<UpstreamFigures&>(got) = change;
+  CHECK(got.DescribesSame(status));
+  CHECK(got.cpuFree == 0);
+  CHECK(got.ordersSeen == 70'000);
+}
