LibJob: Spread queued tasks over full workers, and return early what starts too late

When no worker had free resources, Placement took the worker with the earliest expected end. 35 entries with figures up to 280 ms old took the same few workers: up to 36 tasks queued in 100 ms at a worker that ends about 4. A task then stayed in that queue until its time had run out (3,886 expired), when no other worker could end it in time either.

Change: a task that must queue goes to a worker drawn by its size and the slack left. The agent returns a run at once if the runs ahead of it, by priority, leave less than a quarter of its time as a reserve.

--- a/Libraries/LibJob/Placement.cpp
+++ b/Libraries/LibJob/Placement.cpp
@@ -134,16 +134,28 @@
                                [](const auto& aOne, const auto& aOther) {
                                  return aOne.endIn < aOther.endIn;
                                });
-  // Several entries see the same free resources. Drawing workers by weight
-  // prevents all of them from choosing the best one.
+  const auto* startingNow = Draw(aCandidates, [&](const Candidate& aCandidate) {
+    return Weight(aCandidate, *best, aDemand, aIsHighlyUtilized);
+  });
+  if (startingNow) {
+    return startingNow;
+  }
+  const auto* startingLater = Draw(aCandidates, QueueWeight);
+  return startingLater ? startingLater : &*best;
+}
+
+const Placement::Candidate*
+Placement::Draw(const std::vector<Candidate>& aCandidates,
+                const std::function<double(const Candidate&)>& aWeight)
+{
   std::vector<double> weights;
   double total = 0;
   for (const auto& candidate : aCandidates) {
-    weights.push_back(Weight(candidate, *best, aDemand, aIsHighlyUtilized));
+    weights.push_back(aWeight(candidate));
     total += weights.back();
   }
   if (total <= 0) {
-    return &*best;
+    return nullptr;
   }
   std::discrete_distribution<std::size_t> choose(weights.begin(),
                                                  weights.end());
@@ -168,6 +180,14 @@
                            : tasks / (slower * slower);
 }
 
+double
+Placement::QueueWeight(const Candidate& aCandidate)
+{
+  auto slack = std::max<std::int64_t>(aCandidate.slack.count(), 0);
+  auto cpu = aCandidate.view->Status().cpu;
+  return static_cast<double>(cpu) * static_cast<double>(slack);
+}
+
 Milliseconds
 Placement::RetryAfter()
 {
--- a/Libraries/LibJob/Placement.h
+++ b/Libraries/LibJob/Placement.h
@@ -8,6 +8,7 @@
 #include "LibJob/UpstreamView.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -59,7 +60,9 @@
  * different speed, whose state several entries see with a delay. A worker with
  * free resources is drawn at random, weighted by its free resources and its
  * speed. At high utilization slower workers that still finish in time are
- * preferred, which leaves the fast ones to long tasks. Not thread safe.
+ * preferred, which leaves the fast ones to long tasks. If no worker has free
+ * resources, one is drawn among those whose queue still lets the task end in
+ * time. Not thread safe.
  */
 class Placement
 {
@@ -111,10 +114,23 @@
   const Candidate* PickWeighted(const std::vector<Candidate>& aCandidates,
                                 const Resources& aDemand,
                                 bool aIsHighlyUtilized);
+  /**
+   * Draws a candidate at random by its weight; nothing if all weights are 0.
+   * Several entries see the same figures, which may be old. Drawing prevents
+   * all of them from choosing the same worker.
+   */
+  const Candidate* Draw(const std::vector<Candidate>& aCandidates,
+                        const std::function<double(const Candidate&)>& aWeight);
+  /** Weight of a worker for a task that starts at once; otherwise 0. */
   static double Weight(const Candidate& aCandidate,
                        const Candidate& aBest,
                        const Resources& aDemand,
                        bool aIsHighlyUtilized);
+  /**
+   * Weight of a worker for a task that queues there: more for large workers,
+   * and less the closer the task gets to being late.
+   */
+  static double QueueWeight(const Candidate& aCandidate);
 
   std::mt19937_64 random_;
   PlacementFailure reason_ = PlacementFailure::NoWorker;
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -211,7 +211,10 @@
                       std::uint64_t aToken,
                       StartResult aResult,
                       MonotonicTime aNow);
-  /** Returns the queued runs of the order to the entry. */
+  /**
+   * Returns the queued runs of the order that can't be expected to start in
+   * time, so that the entry can place them elsewhere while there is time.
+   */
   void ReturnUnstarted(const protocol::RunOrder& aOrder, MonotonicTime aNow);
   void ReturnQueue(protocol::RunOutcome aWhy, MonotonicTime aNow);
   void Stop(Run& aRun, protocol::RunOutcome aOutcome, MonotonicTime aNow);
@@ -222,7 +225,13 @@
            protocol::RunOutcome aOutcome,
            MonotonicTime aNow);
   void FlushReports();
-  Milliseconds EstimateStartDelay(MonotonicTime aNow) const;
+  /** Expected time until a queued run starts, by the runs ahead of it. */
+  Milliseconds EstimateStartDelay(const Run& aQueued, MonotonicTime aNow) const;
+  /** Expected time until a task that is queued last now starts. */
+  Milliseconds EstimateStartDelayOfNext(MonotonicTime aNow) const;
+  /** Expected time until aCpu, in thousandths of a core, are free. */
+  Milliseconds EstimateTimeUntilFree(std::int64_t aCpu,
+                                     MonotonicTime aNow) const;
   Milliseconds EstimateRemaining(const Run& aRun, MonotonicTime aNow) const;
 
   UpstreamId upstream_;
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -4,6 +4,14 @@
 
 namespace vanillaworks::job {
 
+namespace {
+/**
+ * A task may queue if it is expected to start within this share of the time
+ * that it has for that; the rest allows for errors of the estimate.
+ */
+constexpr double kMaxQueueShare = 0.75;
+}
+
 void
 RunSupervisor::OnRevalidated(const EntryId& aEntry, MonotonicTime aSentAt)
 {
@@ -93,9 +101,7 @@
   }
   ++statusRevision_;
   StartQueuedRuns(aNow);
-  if (aOrder.startWithinMs == 0) {
-    ReturnUnstarted(aOrder, aNow);
-  }
+  ReturnUnstarted(aOrder, aNow);
   CallHoldIfNeeded(aNow);
   FlushReports();
 }
@@ -104,9 +110,15 @@
 RunSupervisor::ReturnUnstarted(const protocol::RunOrder& aOrder,
                                MonotonicTime aNow)
 {
+  auto maxDelay = Milliseconds(aOrder.startWithinMs) * kMaxQueueShare;
   for (const auto& task : aOrder.tasks) {
     auto found = runs_.find({ aOrder.job, task });
-    if (found != runs_.end() && !found->second.OccupiesResources()) {
+    if (found == runs_.end() || found->second.OccupiesResources()) {
+      continue;
+    }
+    bool mayQueue = aOrder.startWithinMs > 0 &&
+                    EstimateStartDelay(found->second, aNow) <= maxDelay;
+    if (!mayQueue) {
       End(RunKey(found->first), protocol::RunOutcome::NoRoom, aNow);
     }
   }
@@ -163,21 +175,6 @@
          !control_.IsClosed(runner_->report.domain);
 }
 
-Resources
-RunSupervisor::FreeResources() const
-{
-  if (!runner_) {
-    return {};
-  }
-  auto free = runner_->report.capacity;
-  for (const auto& [key, run] : runs_) {
-    if (run.OccupiesResources()) {
-      free -= run.demand;
-    }
-  }
-  return free;
-}
-
 void
 RunSupervisor::StartQueuedRuns(MonotonicTime aNow)
 {
@@ -286,93 +283,4 @@
   });
 }
 
-Milliseconds
-RunSupervisor::EstimateRemaining(const Run& aRun, MonotonicTime aNow) const
-{
-  constexpr std::int64_t kPermille = 1000;
-  constexpr Milliseconds kMinRemaining{ 5 };
-  auto elapsed = std::chrono::duration_cast<Milliseconds>(aNow - aRun.calledAt);
-  if (aRun.percent >= kMinReliablePercent) {
-    auto elapsedAtProgress =
-      std::chrono::duration_cast<Milliseconds>(aRun.progressAt - aRun.calledAt);
-    auto total = elapsedAtProgress * kFullPercent / aRun.percent;
-    return std::max(total - elapsed, kMinRemaining);
-  }
-  auto total = aRun.estimate * health_.SlownessPermille() / kPermille;
-  if (total > elapsed) {
-    return std::max(total - elapsed, kMinRemaining);
-  }
-  // The estimate was too low; the error is assumed to grow with the elapsed
-  // time.
-  return std::max(elapsed / 4, kMinRemaining);
-}
-
-Milliseconds
-RunSupervisor::EstimateStartDelay(MonotonicTime aNow) const
-{
-  auto free = FreeResources().cpu - averageTaskCpu_;
-  for (const auto& item : queue_) {
-    free -= runs_.at(std::get<RunKey>(item)).demand.cpu;
-  }
-  if (free >= 0) {
-    return Milliseconds{ 0 };
-  }
-  std::vector<std::pair<Milliseconds, std::int64_t>> ends;
-  for (const auto& [key, run] : runs_) {
-    auto remaining = EstimateRemaining(run, aNow);
-    if (run.OccupiesResources()) {
-      ends.emplace_back(remaining, run.demand.cpu);
-    }
-  }
-  std::sort(ends.begin(), ends.end());
-  Milliseconds when{ 0 };
-  for (const auto& [remaining, cpu] : ends) {
-    when = remaining;
-    free += cpu;
-    if (free >= 0) {
-      return when;
-    }
-  }
-  // Queued tasks exceed what active runs will free, so further rounds of the
-  // whole capacity are added.
-  constexpr std::int64_t kRoundUp = 1;
-  auto rounds = -free / std::max<std::int64_t>(
-                          runner_ ? runner_->report.capacity.cpu : 1, 1);
-  return when * (rounds + kRoundUp + 1);
-}
-
-protocol::UpstreamStatus
-RunSupervisor::Status(const EntryId& aEntry, MonotonicTime aNow) const
-{
-  protocol::UpstreamStatus status;
-  status.upstream = upstream_;
-  status.incarnation = incarnation_;
-  auto session = sessions_.find(aEntry);
-  if (session != sessions_.end()) {
-    status.ordersSeen = session->second.ordersSeen;
-  }
-  if (!runner_) {
-    return status;
-  }
-  const auto& report = runner_->report;
-  status.service = report.service;
-  status.domain = report.domain;
-  status.labels = report.labels;
-  status.cpu = report.capacity.cpu;
-  status.memory = report.capacity.memory;
-  status.accelerators = report.capacity.accelerators;
-  auto free = FreeResources();
-  for (const auto& item : queue_) {
-    free -= runs_.at(std::get<RunKey>(item)).demand;
-  }
-  status.cpuFree = free.cpu;
-  status.memoryFree = free.memory;
-  status.acceleratorsFree = free.accelerators;
-  status.startInMs = EstimateStartDelay(aNow).count();
-  status.slownessPermille = health_.SlownessPermille();
-  status.accepting = MayStart();
-  status.suspect = health_.IsSuspect(aNow);
-  return status;
-}
-
 }
--- a/Tests/LibJob/DecisionsTest.cpp
+++ b/Tests/LibJob/DecisionsTest.cpp
@@ -93,6 +93,33 @@
   CHECK(atHighLoad["slow"] > 600);
 }
 
+TEST_CASE("full workers share waiting tasks, so that entries don't collide")
+{
+  Placement placement(1);
+  Placement::Views views;
+  for (const auto* name : { "a", "b", "c", "d", "e", "f" }) {
+    auto view = MakeView(name, 0, 1000);
+    auto status = view.Status();
+    status.startInMs = 20 + 2 * (name[0] - 'a');
+    view.OnStatus(status, kNow);
+    views[UpstreamId(name)] = view;
+  }
+  auto counts =
+    CountPlacements(placement, views, MakeRequest(Milliseconds(200)));
+  CHECK(counts.size() == 6);
+  for (const auto& [name, count] : counts) {
+    CHECK(count < 333);
+  }
+  SECTION("a worker with a long queue gets few of them")
+  {
+    auto status = views[UpstreamId("a")].Status();
+    status.startInMs = 150;
+    views[UpstreamId("a")].OnStatus(status, kNow);
+    counts = CountPlacements(placement, views, MakeRequest(Milliseconds(200)));
+    CHECK(counts["a"] < 50);
+  }
+}
+
 TEST_CASE("a long task goes only to a worker where it ends in time")
 {
   Placement placement(1);
--- a/Tests/LibJob/RunSupervisorTest.cpp
+++ b/Tests/LibJob/RunSupervisorTest.cpp
@@ -83,10 +83,18 @@
     supervisor.OnRevalidated(kEntry, now);
   }
   void Order(std::uint32_t aTasks, std::int64_t aStartWithinMs = 500)
+  {
+    OrderFor(kJob, aTasks, aStartWithinMs, 0);
+  }
+  void OrderFor(const SubmissionId& aJob,
+                std::uint32_t aTasks,
+                std::int64_t aStartWithinMs,
+                std::uint32_t aPriority)
   {
     protocol::RunOrder order;
     order.sequence = ++orders;
-    order.job = kJob;
+    order.job = aJob;
+    order.priority = aPriority;
     order.cpu = 1000;
     order.estimateMs = 100;
     order.startWithinMs = aStartWithinMs;
@@ -148,6 +156,42 @@
   CHECK(fixture.ends == std::vector{ RunOutcome::NoRoom });
 }
 
+TEST_CASE("a run that can't be expected to start in time is returned at once")
+{
+  // Two runs of 100 ms are active, so that a third one starts after 100 ms, a
+  // fifth one about 100 ms later.
+  Fixture fixture;
+  fixture.Adopt();
+  fixture.Order(2);
+  REQUIRE(fixture.starts.size() == 2);
+  const SubmissionId other("00000000000000bb");
+  SECTION("if its time is shorter than the expected delay")
+  {
+    fixture.OrderFor(other, 1, 90, 0);
+    CHECK(fixture.ends == std::vector{ RunOutcome::NoRoom });
+  }
+  SECTION("if hardly any time is left for an error of the estimate")
+  {
+    fixture.OrderFor(other, 1, 110, 0);
+    CHECK(fixture.ends == std::vector{ RunOutcome::NoRoom });
+  }
+  SECTION("but it queues if it is expected to start well in time")
+  {
+    fixture.OrderFor(other, 1, 150, 0);
+    CHECK(fixture.ends.empty());
+    CHECK(fixture.supervisor.Queued() == 1);
+  }
+  SECTION("only runs that are as urgent or more count as ahead of it")
+  {
+    fixture.OrderFor(SubmissionId("00000000000000cc"), 4, 1000, 2);
+    REQUIRE(fixture.supervisor.Queued() == 4);
+    fixture.OrderFor(other, 1, 150, 0);
+    CHECK(fixture.ends.empty());
+    fixture.OrderFor(SubmissionId("00000000000000dd"), 1, 150, 2);
+    CHECK(fixture.ends == std::vector{ RunOutcome::NoRoom });
+  }
+}
+
 TEST_CASE("nothing starts in a failure domain that is known to be closed")
 {
   Fixture fixture;
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -9,7 +9,6 @@
 constexpr Milliseconds kNetworkDelay{ 1 };
 constexpr Milliseconds kRunnerNetworkDelay{ 1 };
 constexpr Milliseconds kTickInterval{ 25 };
-constexpr Milliseconds kStatusInterval{ 24 };
 constexpr Milliseconds kHeartbeatInterval{ 200 };
 constexpr Milliseconds kReportInterval{ 1500 };
 constexpr Milliseconds kLinkTimeout{ 1000 };
@@ -460,7 +459,7 @@
     }
     node->supervisor->OnTick(now_);
     bool isDue = node->sentStatus != node->supervisor->StatusRevision() &&
-                 now_ - node->statusAt >= kStatusInterval;
+                 now_ - node->statusAt >= options_.statusInterval;
     for (auto& entry : entries_) {
       auto found = entry->links.find(node->index);
       bool isCut = cuts_.contains({ entry->index, node->index });
--- a/Tests/LibJob/SimulatedJobClusterTest.cpp
+++ b/Tests/LibJob/SimulatedJobClusterTest.cpp
@@ -50,6 +50,37 @@
   CHECK(cluster.Count(job::JobState::Completed) > 250);
 }
 
+TEST_CASE("many entries with old figures share the workers of a full fleet")
+{
+  // Twenty entries see each worker's figures with a delay of up to 160 ms, as
+  // in a fleet with that many links.
+  JobClusterOptions options;
+  options.entries = 20;
+  options.cpu = 6000;
+  options.statusInterval = Milliseconds(160);
+  SECTION("at 95% load, nearly all jobs are served in time")
+  {
+    // Workers of six tasks of 100 ms, a third of each speed, run 61 a second.
+    options.agents = 69;
+    SimulatedJobCluster cluster(options);
+    SubmitAtRate(cluster, { 4, Milliseconds(100) }, 1000, Milliseconds(2500));
+    cluster.Run(Milliseconds(6000));
+    CHECK(cluster.Violations() == kNoViolations);
+    CHECK(cluster.ServedInTime() > 0.9);
+    CHECK(cluster.Count(job::JobState::GivenUp) == 0);
+  }
+  SECTION("at 109% load, what can't be served in time is mostly rejected early")
+  {
+    options.agents = 60;
+    SimulatedJobCluster cluster(options);
+    SubmitAtRate(cluster, { 4, Milliseconds(100) }, 1000, Milliseconds(2500));
+    cluster.Run(Milliseconds(6000));
+    CHECK(cluster.Violations() == kNoViolations);
+    CHECK(cluster.ServedInTime() > 0.7);
+    CHECK(cluster.RejectedWithin(Milliseconds(55)) > 0.9);
+  }
+}
+
 TEST_CASE("jobs wait at a restarted entry until the first agent connects")
 {
   SimulatedJobCluster cluster({});
