Entry+Agent: Close a link whose peer changes its name

Cause: a status that named another upstream than the link's first one made the entry look that name up with map::at: the exception ended the process (one malformed message took a process down; Tests/Entry/JobEntryLinksTest failed with map::at). The agent kept two names for one link after a second resume, and the one left behind pointed to a closed link (sessions_.at at the next status to all). A look-up of the current link inserted a default id.

Ruled out: frames of a link that is being closed; LinkManager drops them.

An agent forgets addresses of entries that the store no longer lists, except those from its settings and those it is linked to; before, it tried each for ever.

--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -131,7 +131,7 @@
     for (const auto& row : aRows.rows) {
       addresses.push_back(row.value);
     }
-    links_.AddEntryAddresses(addresses);
+    links_.SetEntryAddresses(addresses);
   });
 }
 
--- a/Services/Agent/JobAgentLinks.cpp
+++ b/Services/Agent/JobAgentLinks.cpp
@@ -25,6 +25,7 @@
   , controlExchange_(aControlExchange)
   , supervisor_(aSupervisor)
   , linkManager_(aBase, {}, *this)
+  , addressesFromSettings_(aEntries.begin(), aEntries.end())
 {
   AddEntryAddresses(aEntries);
 }
@@ -37,6 +38,34 @@
   }
 }
 
+void
+JobAgentLinks::SetEntryAddresses(const std::vector<std::string>& aAddresses)
+{
+  std::set<std::string> listed(aAddresses.begin(), aAddresses.end());
+  std::erase_if(endpoints_, [this, &listed](const auto& aItem) {
+    const auto& address = aItem.first;
+    return !listed.contains(address) &&
+           !addressesFromSettings_.contains(address) && !HasLinkTo(address);
+  });
+  AddEntryAddresses(aAddresses);
+}
+
+bool
+JobAgentLinks::HasLinkTo(const std::string& aAddress) const
+{
+  return std::any_of(
+    sessions_.begin(), sessions_.end(), [&aAddress](const auto& aItem) {
+      return aItem.second.address == aAddress;
+    });
+}
+
+bool
+JobAgentLinks::IsCurrent(const EntryId& aEntry, link::LinkId aLink) const
+{
+  auto found = linkByEntry_.find(aEntry);
+  return found != linkByEntry_.end() && found->second == aLink;
+}
+
 void
 JobAgentLinks::Send(const EntryId& aEntry, protocol::Message aMessage)
 {
@@ -105,11 +134,7 @@
   for (auto& item : endpoints_) {
     const auto& address = item.first;
     auto& backoff = item.second;
-    bool hasLink = std::any_of(
-      sessions_.begin(), sessions_.end(), [&address](const auto& aItem) {
-        return aItem.second.address == address;
-      });
-    if (hasLink || !backoff.IsAttemptDue(aNow)) {
+    if (HasLinkTo(address) || !backoff.IsAttemptDue(aNow)) {
       continue;
     }
     auto linkId = linkManager_.Connect(address);
@@ -167,7 +192,7 @@
   session.isUp = true;
   auto now = MonotonicNow();
   session.liveness.Restart(now);
-  endpoints_[session.address].OnConnected();
+  endpoints_.at(session.address).OnConnected();
   SendStatus(aLink, session, now);
 }
 
@@ -184,9 +209,7 @@
   if (const auto* resume = std::get_if<protocol::RunResume>(&aFrame.message)) {
     OnResume(aLink, session, *resume, now);
   }
-  bool isCurrent =
-    !session.entry.Value().empty() && linkByEntry_[session.entry] == aLink;
-  if (!isCurrent) {
+  if (!IsCurrent(session.entry, aLink)) {
     return;
   }
   supervisor_.OnRevalidated(session.entry,
@@ -204,6 +227,15 @@
                         const protocol::RunResume& aResume,
                         MonotonicTime aNow)
 {
+  bool isRenamed =
+    !aSession.entry.Value().empty() && aSession.entry != aResume.entry;
+  if (isRenamed) {
+    Log::Write(Event::FrameRefused,
+               { { "entry", aSession.entry.Value() },
+                 { "other", aResume.entry.Value() } });
+    linkManager_.Close(aLink);
+    return;
+  }
   aSession.entry = aResume.entry;
   auto previous = linkByEntry_.find(aResume.entry);
   if (previous != linkByEntry_.end() && previous->second != aLink) {
@@ -247,9 +279,8 @@
       { { "address", session.address },
         { "reason", std::string(link::LinkCloseReasonName(aReason)) } });
   }
-  auto current = linkByEntry_.find(session.entry);
-  if (current != linkByEntry_.end() && current->second == aLink) {
-    linkByEntry_.erase(current);
+  if (IsCurrent(session.entry, aLink)) {
+    linkByEntry_.erase(session.entry);
   }
 }
 
--- a/Services/Agent/JobAgentLinks.h
+++ b/Services/Agent/JobAgentLinks.h
@@ -43,9 +43,15 @@
    */
   void OnTick(MonotonicTime aNow);
   void AddEntryAddresses(const std::vector<std::string>& aAddresses);
+  /**
+   * Adds the addresses and forgets all others, except those from the settings
+   * and those of linked entries. The list must be complete.
+   */
+  void SetEntryAddresses(const std::vector<std::string>& aAddresses);
   /** Sends the status to all entries at once, such as when a stop begins. */
   void SendStatusNow();
   std::size_t LinkedEntryCount() const { return linkByEntry_.size(); }
+  std::size_t KnownEntryCount() const { return endpoints_.size(); }
 
   void OnLinkUp(link::LinkId aLink, link::LinkDirection aDirection) override;
   void OnLinkFrame(link::LinkId aLink, protocol::Frame aFrame) override;
@@ -72,6 +78,10 @@
 
   void SendOn(link::LinkId aLink, Session& aSession, protocol::Message);
   void SendStatus(link::LinkId aLink, Session& aSession, MonotonicTime aNow);
+  /** Whether a link to aAddress is up or being established. */
+  bool HasLinkTo(const std::string& aAddress) const;
+  /** Whether aLink is the link in use to aEntry. */
+  bool IsCurrent(const EntryId& aEntry, link::LinkId aLink) const;
   void ConnectMissing(MonotonicTime aNow);
   void MaintainLink(link::LinkId aLink, Session& aSession, MonotonicTime aNow);
   void OnResume(link::LinkId aLink,
@@ -86,6 +96,7 @@
   service::ControlExchange& controlExchange_;
   job::RunSupervisor& supervisor_;
   link::LinkManager linkManager_;
+  std::set<std::string> addressesFromSettings_;
   std::map<std::string, link::ReconnectBackoff> endpoints_;
   std::map<link::LinkId, Session> sessions_;
   std::map<EntryId, link::LinkId> linkByEntry_;
--- a/Services/Entry/JobEntryLinks.cpp
+++ b/Services/Entry/JobEntryLinks.cpp
@@ -100,9 +100,7 @@
     static_cast<protocol::UpstreamFigures&>(status) = *figures;
     OnStatus(aLink, session, status, now);
   }
-  bool isCurrent = !session.upstream.Value().empty() &&
-                   linksByUpstream_[session.upstream] == aLink;
-  if (!isCurrent) {
+  if (!IsCurrent(session.upstream, aLink)) {
     return;
   }
   dispatcher_.OnAgentHeard(session.upstream, now);
@@ -115,6 +113,13 @@
   }
 }
 
+bool
+JobEntryLinks::IsCurrent(const UpstreamId& aUpstream, link::LinkId aLink) const
+{
+  auto found = linksByUpstream_.find(aUpstream);
+  return found != linksByUpstream_.end() && found->second == aLink;
+}
+
 void
 JobEntryLinks::LogStatusChange(const protocol::UpstreamStatus& aStatus) const
 {
@@ -137,8 +142,16 @@
                         const protocol::UpstreamStatus& aStatus,
                         MonotonicTime aNow)
 {
-  if (!aSession.upstream.Value().empty()) {
-    if (linksByUpstream_[aSession.upstream] == aLink) {
+  bool isIdentified = !aSession.upstream.Value().empty();
+  if (isIdentified && aSession.upstream != aStatus.upstream) {
+    Log::Write(Event::FrameRefused,
+               { { "upstream", aSession.upstream.Value() },
+                 { "other", aStatus.upstream.Value() } });
+    linkManager_.Close(aLink);
+    return;
+  }
+  if (isIdentified) {
+    if (IsCurrent(aSession.upstream, aLink)) {
       LogStatusChange(aStatus);
       dispatcher_.OnStatus(aStatus, aNow);
     }
@@ -167,11 +180,10 @@
   }
   auto upstream = found->second.upstream;
   sessions_.erase(found);
-  auto current = linksByUpstream_.find(upstream);
-  if (current == linksByUpstream_.end() || current->second != aLink) {
+  if (!IsCurrent(upstream, aLink)) {
     return;
   }
-  linksByUpstream_.erase(current);
+  linksByUpstream_.erase(upstream);
   Log::Write(Event::LinkClosed,
              { { "upstream", upstream.Value() },
                { "reason", std::string(link::LinkCloseReasonName(aReason)) } });
--- a/Services/Entry/JobEntryLinks.h
+++ b/Services/Entry/JobEntryLinks.h
@@ -63,6 +63,8 @@
                 Session& aSession,
                 const protocol::UpstreamStatus& aStatus,
                 MonotonicTime aNow);
+  /** Whether aLink is the link in use to aUpstream. */
+  bool IsCurrent(const UpstreamId& aUpstream, link::LinkId aLink) const;
   /** Logs a change of whether the upstream accepts tasks or is suspect. */
   void LogStatusChange(const protocol::UpstreamStatus& aStatus) const;
 
