LibDispatch: Keep a result until its owner acknowledged it, and expire all results

Cause, found by reading: an acknowledgement dropped a result whoever sent it. After a takeover the former owner's acknowledgement, still under way, took the result from the new owner, whose caller then got no answer. Expiry looked at the oldest result only, so that one with a long deadline kept all later ones, and the byte limit then dropped results that were still needed.

Tests/LibDispatch/AgentCoreTest fails on both without the change.

--- a/Libraries/LibDispatch/AgentCore.cpp
+++ b/Libraries/LibDispatch/AgentCore.cpp
@@ -99,7 +99,7 @@
     aSession.echo = std::max(aSession.echo, FromMicroseconds(aHeader.echo));
   }
   for (auto number : aHeader.acknowledged) {
-    DropHeldResult(number);
+    OnAcknowledged({ aEntry, aSession.incarnation }, number);
   }
   if (aHeader.echo != 0 && aHeader.versionAgeUs >= 0) {
     // The frame was written after the echoed send time. Counting from that
@@ -165,30 +165,6 @@
   queue_.emplace(order, std::move(task));
 }
 
-void
-AgentCore::AnswerDuplicate(const EntryIdentity& aSender,
-                           const protocol::TaskKey& aKey)
-{
-  port_.CountRefusal(RefusalReason::Duplicate);
-  auto started = started_.find(aKey);
-  bool isRunning = started != started_.end() && started->second.running;
-  if (isRunning) {
-    return;
-  }
-  auto held = started == started_.end()
-                ? heldResults_.end()
-                : heldResults_.find(started->second.result);
-  if (held != heldResults_.end()) {
-    return SendToOwner(aSender, held->second.result);
-  }
-  // The task did start here once, so the result must not be "not started".
-  protocol::TaskResult result;
-  result.key = aKey;
-  result.code = ResultCode::Failed;
-  result.reason = RefusalReason::Duplicate;
-  SendToOwner(aSender, result);
-}
-
 void
 AgentCore::OnCancel(const protocol::Cancel& aCancel)
 {
@@ -253,44 +229,6 @@
   RefuseDisallowedTasks(aNow);
 }
 
-void
-AgentCore::OnTaskEnded(const protocol::TaskKey& aKey,
-                       protocol::ResultCode aCode,
-                       std::string aPayload,
-                       Microseconds aService,
-                       MonotonicTime aNow)
-{
-  gate_.End(aKey);
-  auto started = started_.find(aKey);
-  if (started != started_.end()) {
-    if (aCode == ResultCode::Completed) {
-      gate_.Breaker().OnSuccess();
-    } else {
-      gate_.Breaker().OnFailure(aKey.submission, aNow);
-    }
-    auto& task = started->second;
-    --unfinishedByEntry_[task.sender.entry];
-    task.running = false;
-    task.result = nextResult_++;
-    protocol::TaskResult result{
-      task.result,     aKey, aCode, RefusalReason::None, std::move(aPayload),
-      aService.count()
-    };
-    heldBytes_ += result.payload.size();
-    auto expires = std::max(task.deadline, aNow) + limits_.gate.retention;
-    heldResults_.emplace(task.result, HeldResult{ result, expires });
-    while (heldBytes_ > limits_.heldResultBytes && heldResults_.size() > 1) {
-      DropHeldResult(heldResults_.begin()->first);
-    }
-    // Queued tasks start first, so that the occupancy in the header of the
-    // result is up to date.
-    StartQueuedTasks(aNow);
-    SendToOwner(task.owner, std::move(result));
-    return;
-  }
-  StartQueuedTasks(aNow);
-}
-
 void
 AgentCore::OnTick(MonotonicTime aNow)
 {
@@ -301,10 +239,7 @@
       return !aItem.second.running && !gate_.HasStarted(aItem.first);
     });
   }
-  while (!heldResults_.empty() &&
-         heldResults_.begin()->second.expires <= aNow) {
-    DropHeldResult(heldResults_.begin()->first);
-  }
+  DropExpiredResults(aNow);
 }
 
 void
@@ -380,17 +315,6 @@
   port_.SendToEntry(aOwner.entry, std::move(aMessage));
 }
 
-void
-AgentCore::DropHeldResult(std::uint64_t aNumber)
-{
-  auto held = heldResults_.find(aNumber);
-  if (held == heldResults_.end()) {
-    return;
-  }
-  heldBytes_ -= held->second.result.payload.size();
-  heldResults_.erase(held);
-}
-
 GateRequest
 AgentCore::RequestOf(const QueuedTask& aTask) const
 {
--- a/Libraries/LibDispatch/AgentCore.h
+++ b/Libraries/LibDispatch/AgentCore.h
@@ -144,7 +144,10 @@
   void AnswerDuplicate(const EntryIdentity& aSender,
                        const protocol::TaskKey& aKey);
   void SendToOwner(const EntryIdentity& aOwner, protocol::Message aMessage);
+  /** Drops the result unless another entry than aFrom owns it. */
+  void OnAcknowledged(const EntryIdentity& aFrom, std::uint64_t aResult);
   void DropHeldResult(std::uint64_t aNumber);
+  void DropExpiredResults(MonotonicTime aNow);
   GateRequest RequestOf(const QueuedTask& aTask) const;
   bool IsWaiting(const protocol::TaskKey& aKey) const
   {
