--- a/Libraries/LibCore/SettingsReader.cpp
+++ b/Libraries/LibCore/SettingsReader.cpp
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 #include <fstream>
+#include <limits>
 #include <sstream>
+#include <utility>
 
 namespace vanillaworks {
 
@@ -111,8 +113,12 @@
     AddIssue(SettingsProblem::WrongType, aKey, "must be an integer");
     return aDefault;
   }
-  auto number = value->get<std::int64_t>();
-  if (number < aRange.min || number > aRange.max) {
+  // A number above the signed range would turn negative.
+  bool isTooLarge = value->is_number_unsigned() &&
+                    !std::in_range<std::int64_t>(value->get<std::uint64_t>());
+  auto number = isTooLarge ? std::numeric_limits<std::int64_t>::max()
+                           : value->get<std::int64_t>();
+  if (isTooLarge || number < aRange.min || number > aRange.max) {
     AddIssue(SettingsProblem::OutOfRange,
              aKey,
              fmt::format("must be between {} and {}", aRange.min, aRange.max));
--- a/Tests/LibCore/SettingsReaderTest.cpp
+++ b/Tests/LibCore/SettingsReaderTest.cpp
@@ -4,6 +4,17 @@
 
 using namespace vanillaworks;
 
+TEST_CASE("an integer above the signed range is out of range, not negative")
+{
+  auto reader = SettingsReader::FromText(R"({"a": 18446744073709551615})");
+  REQUIRE_FALSE(reader.IsError());
+  auto settings = reader.ReleaseValue();
+  CHECK(settings.GetInteger("a", 7, { -10, 10 }) == 7);
+  auto issues = settings.Finish();
+  REQUIRE(issues.size() == 1);
+  CHECK(issues[0].problem == SettingsProblem::OutOfRange);
+}
+
 TEST_CASE("all issues of a file are reported together with their paths")
 {
   auto reader = SettingsReader::FromText(R"({
--- a/Tests/platform/CodecTest.cpp
+++ b/Tests/platform/CodecTest.cpp
@@ -35,6 +35,32 @@
         JobProblem::NotSupported);
 }
 
+TEST_CASE("numbers that no field can hold are rejected, not converted")
+{
+  auto problem = [](const std::string& aNumber) {
+    auto job = ParseJob(R"({"bestEffort":true,"steps":[{"count":1,"cpu":)" +
+                        aNumber + "}]}");
+    return job.IsError() ? std::optional(job.Error()) : std::nullopt;
+  };
+  CHECK(problem("1e300") == JobProblem::Unreadable);
+  CHECK(problem("-1e300") == JobProblem::Unreadable);
+  // One more than the largest signed number, and the largest unsigned one.
+  CHECK(problem("9223372036854775808") == JobProblem::Unreadable);
+  CHECK(problem("18446744073709551615") == JobProblem::Unreadable);
+  CHECK(problem("1500.0") == std::nullopt);
+  auto step = [](const char* aFields) {
+    return ParseJob(std::string(R"({"bestEffort":true,"steps":[{"count":1,)") +
+                    aFields + "}]}");
+  };
+  // A limit that 32 bits can't hold is still a limit.
+  CHECK(step(R"("antiAffinity":4294967296)").Value().maxPerWorker > 0);
+  CHECK(step(R"("estimateMs":9000000000000000000)").Error() ==
+        JobProblem::InvalidNumbers);
+  CHECK_FALSE(ParseRunnerReport("r1", R"({"service":"s","address":"a:1",
+    "zone":"z","state":"ready","capacity":{"cpu":16000,"memMb":1,"gpus":0},
+    "clockMs":1e19,"born":1,"seq":4})"));
+}
+
 TEST_CASE("an id is sixteen hexadecimal digits below the prefix")
 {
   CHECK(ParseJobId("/a/5c0e7a21d94b36f8", "/a/")->Value() ==
