LibJob+Agent: Keep a runner's learned slowness over restarts

Runners differ by 0.6 to 1.6, and a new agent learned that from its first ends.

Change: the agent saves the slowness with the runner's report in the store, when it has changed by a fifth, and a later process of it, or a new incarnation of the runner with the same labels, starts from it with the weight of four samples. Rows without the field read as unknown.

Test: a new process starts with the slowness that the former one learned, whichever report comes first.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -1,5 +1,7 @@
 #include "LibJob/RunSupervisor.h"
 
+#include <cstdlib>
+
 namespace vanillaworks::job {
 
 namespace {
@@ -8,6 +10,10 @@
  * processes of an agent.
  */
 constexpr std::uint64_t kFencedTokenIncrement = 3'600'000;
+/** The learned slowness is saved if it changed by more than a fifth. */
+constexpr std::int64_t kSlownessSaveDivisor = 5;
+/** Bounds the writes to the store. */
+constexpr Milliseconds kMinSlownessSaveInterval{ 5000 };
 
 std::set<RunKey>
 KeysOf(const HoldAnswer& aAnswer)
@@ -47,10 +53,18 @@
     VerifyReport(aReport, aNow);
     return;
   }
+  if (aReport.learnedSlowness > 0) {
+    // The saved report came later than the runner's own.
+    health_.Seed(aReport.learnedSlowness);
+    runner_->report.learnedSlowness = aReport.learnedSlowness;
+    ++statusRevision_;
+  }
   if (aReport.sequence <= runner_->report.sequence) {
     return;
   }
+  auto learnedSlowness = runner_->report.learnedSlowness;
   runner_->report = aReport;
+  runner_->report.learnedSlowness = learnedSlowness;
   ++statusRevision_;
   StartQueuedRuns(aNow);
   FlushReports();
@@ -134,13 +148,21 @@
       found->second.stopAcceptedAt = {};
     }
   }
+  // Equal labels stand for equal hardware.
+  bool hasSameLabels = runner_ && runner_->report.labels == aReport.labels;
+  auto learnedSlowness = aReport.learnedSlowness == 0 && hasSameLabels
+                           ? runner_->report.learnedSlowness
+                           : aReport.learnedSlowness;
   health_.Reset();
+  health_.Seed(learnedSlowness);
   foreignRuns_.clear();
   runner_ = RunnerIncarnation();
   runner_->report = aReport;
+  runner_->report.learnedSlowness = learnedSlowness;
   runner_->token = aToken;
   runner_->leasesExpireAt = aNow + limits_.lease * 2;
   pendingHolds_.clear();
+  port_.SaveReport(runner_->report);
   port_.OnRunnerAdopted(aReport, aToken);
   ProcessHoldAnswer(aAnswer, { 0, aNow, aToken, 0, aNow, true }, aNow);
 }
@@ -159,6 +181,23 @@
   }
 }
 
+void
+RunSupervisor::SaveLearnedSlowness(MonotonicTime aNow)
+{
+  auto learned = health_.LearnedSlownessPermille();
+  if (!runner_ || learned == 0 ||
+      aNow - slownessSavedAt_ < kMinSlownessSaveInterval) {
+    return;
+  }
+  auto saved = runner_->report.learnedSlowness;
+  if (std::abs(learned - saved) <= saved / kSlownessSaveDivisor) {
+    return;
+  }
+  slownessSavedAt_ = aNow;
+  runner_->report.learnedSlowness = learned;
+  port_.SaveReport(runner_->report);
+}
+
 void
 RunSupervisor::RaiseToken(std::uint64_t aBy)
 {
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -173,6 +173,11 @@
    */
   static bool IsSameIncarnation(const HoldAnswer& aAnswer,
                                 const RunnerReport& aReport);
+  /**
+   * Saves the report with the slowness learned if that has changed much since
+   * it was saved.
+   */
+  void SaveLearnedSlowness(MonotonicTime aNow);
   void RaiseToken(std::uint64_t aBy);
   /**
    * Raises the token above any that an earlier process of this agent may have
@@ -240,6 +245,7 @@
   const ControlView& control_;
   RunSupervisorPort& port_;
   RunnerHealth health_;
+  MonotonicTime slownessSavedAt_;
   /** Response times of start calls. */
   ResponseTimeEstimator startResponseTimes_;
   std::optional<RunnerIncarnation> runner_;
--- a/Libraries/LibJob/RunSupervisorPort.h
+++ b/Libraries/LibJob/RunSupervisorPort.h
@@ -28,10 +28,9 @@
   virtual void OnRunEnded(const EntryId& aEntry,
                           const SubmissionId& aJob,
                           const protocol::RunEnd& aEnd) = 0;
-  /**
-   * This incarnation of the runner is served from now on. The report should be
-   * saved for later processes of the agent.
-   */
+  /** Saves the report for later processes of the agent; best effort. */
+  virtual void SaveReport(const RunnerReport& aReport) = 0;
+  /** For logs only: this incarnation of the runner is served from now on. */
   virtual void OnRunnerAdopted(const RunnerReport& aReport,
                                std::uint64_t aToken) = 0;
 };
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -239,6 +239,7 @@
 RunSupervisor::OnTick(MonotonicTime aNow)
 {
   health_.OnTick(aNow);
+  SaveLearnedSlowness(aNow);
   bool hasLeaseExpired = runner_ && aNow > runner_->leasesExpireAt;
   if (hasLeaseExpired && CountOccupyingRuns() > 0) {
     // The runner has not answered for so long that all leases there have
--- a/Libraries/LibJob/RunnerHealth.cpp
+++ b/Libraries/LibJob/RunnerHealth.cpp
@@ -21,6 +21,9 @@
 constexpr Milliseconds kSampleMaxAge{ 700 };
 constexpr double kDecayShare = 0.1;
 constexpr double kPermille = 1000;
+/** A seeded slowness counts as much as this number of samples. */
+constexpr std::uint32_t kSeedSamples = 4;
+constexpr std::uint32_t kMinLearnedSamples = 30;
 }
 
 void
@@ -116,6 +119,26 @@
   *this = {};
 }
 
+void
+RunnerHealth::Seed(std::int64_t aSlownessPermille)
+{
+  if (samples_ > 0 || aSlownessPermille <= 0) {
+    return;
+  }
+  slowness_ = std::clamp(
+    static_cast<double>(aSlownessPermille) / kPermille, kMinRatio, kMaxRatio);
+  typicalSlowness_ = slowness_;
+  samples_ = kSeedSamples;
+}
+
+std::int64_t
+RunnerHealth::LearnedSlownessPermille() const
+{
+  return samples_ < kMinLearnedSamples
+           ? 0
+           : static_cast<std::int64_t>(typicalSlowness_ * kPermille);
+}
+
 std::int64_t
 RunnerHealth::SlownessPermille() const
 {
--- a/Libraries/LibJob/RunnerHealth.h
+++ b/Libraries/LibJob/RunnerHealth.h
@@ -38,6 +38,16 @@
    * healthy.
    */
   void Reset();
+  /**
+   * Starts from a slowness that an earlier process or incarnation had learned,
+   * in thousandths. Does nothing if there are samples already.
+   */
+  void Seed(std::int64_t aSlownessPermille);
+  /**
+   * The slowness over a long time, in thousandths, which temporary trouble
+   * hardly changes; 0 until there are enough samples.
+   */
+  std::int64_t LearnedSlownessPermille() const;
 
   /** Ratio of measured to estimated run time, in thousandths. */
   std::int64_t SlownessPermille() const;
--- a/Libraries/LibJob/RunnerReport.h
+++ b/Libraries/LibJob/RunnerReport.h
@@ -36,6 +36,11 @@
   RunnerState state = RunnerState::Ready;
   /** The runner's own clock, in milliseconds. */
   std::int64_t clockMs = 0;
+  /**
+   * Run time relative to the senders' estimates, in thousandths, as an agent
+   * has learned it; 0 if unknown. Only saved reports carry it.
+   */
+  std::int64_t learnedSlowness = 0;
 };
 
 }
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -241,13 +241,18 @@
 }
 
 void
-JobAgent::OnRunnerAdopted(const job::RunnerReport& aReport,
-                          std::uint64_t aToken)
+JobAgent::SaveReport(const job::RunnerReport& aReport)
 {
   store_.Put(kRunnersTable,
              settings_.upstream.Value(),
              wire::EncodeStoredReport(aReport),
              [](wire::StoreStatus) {});
+}
+
+void
+JobAgent::OnRunnerAdopted(const job::RunnerReport& aReport,
+                          std::uint64_t aToken)
+{
   Log::Write(
     Event::RunnerAdopted,
     { { "runner", aReport.id }, { "fencing_token", std::to_string(aToken) } });
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -53,6 +53,7 @@
   void OnRunEnded(const EntryId& aEntry,
                   const SubmissionId& aJob,
                   const protocol::RunEnd& aEnd) override;
+  void SaveReport(const job::RunnerReport& aReport) override;
   void OnRunnerAdopted(const job::RunnerReport& aReport,
                        std::uint64_t aToken) override;
 
--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -22,6 +22,7 @@
                   const protocol::RunEnd&) override
   {
   }
+  void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
 };
 
--- a/Tests/LibJob/RunSupervisorTest.cpp
+++ b/Tests/LibJob/RunSupervisorTest.cpp
@@ -38,6 +38,10 @@
                   const protocol::RunEnd&) override
   {
   }
+  void SaveReport(const RunnerReport& aReport) override
+  {
+    saved.push_back(aReport);
+  }
   void OnRunnerAdopted(const RunnerReport&, std::uint64_t aToken) override
   {
     token = aToken;
@@ -116,6 +120,7 @@
   std::uint64_t sequence = 0;
   std::uint64_t orders = 0;
   std::uint64_t token = 0;
+  std::vector<RunnerReport> saved;
   std::vector<StartCall> starts;
   std::vector<StopCall> stops;
   std::vector<std::pair<std::uint64_t, HoldCall>> holds;
@@ -291,6 +296,50 @@
   CHECK(later.token > former.token);
 }
 
+TEST_CASE("a new process starts with the slowness that the former one learned")
+{
+  // Tasks whose estimate is 100 ms take 150 ms on this runner.
+  Fixture former;
+  former.Adopt();
+  for (std::uint64_t i = 1; i <= 40; ++i) {
+    former.Order(1);
+    former.supervisor.OnStartAnswered(
+      former.Key(0), former.token, StartResult::Started, former.now);
+    former.AdvanceTime(Milliseconds(150));
+    former.Revalidate();
+    former.AnswerHold(
+      former.Answer({}, { { i, former.Key(0), EndKind::Done } }));
+    former.supervisor.OnTick(former.now);
+  }
+  REQUIRE(former.saved.size() >= 2);
+  CHECK(former.saved.size() <= 3);
+  auto report = former.saved.back();
+  CHECK(report.learnedSlowness > 1400);
+  CHECK(report.learnedSlowness < 1600);
+
+  Fixture later;
+  SECTION("if the saved report comes first")
+  {
+    report.sequence = 0;
+    later.supervisor.OnRunnerReport(report, later.now);
+    later.AnswerHold(later.Answer());
+  }
+  SECTION("if the runner's own report comes first")
+  {
+    later.Adopt();
+    report.sequence = 0;
+    later.supervisor.OnRunnerReport(report, later.now);
+  }
+  auto status = later.supervisor.Status(kEntry, later.now);
+  CHECK(status.slownessPermille == report.learnedSlowness);
+  // A new incarnation with the same labels is likely to be as fast.
+  ++later.startedMs;
+  later.supervisor.OnRunnerReport(later.Report(), later.now);
+  later.AnswerHold(later.Answer());
+  CHECK(later.supervisor.Status(kEntry, later.now).slownessPermille ==
+        report.learnedSlowness);
+}
+
 TEST_CASE("a new process stops unknown runs before it starts any")
 {
   Fixture fixture;
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -170,6 +170,7 @@
                   const protocol::RunEnd&) override
   {
   }
+  void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
 
   SimulatedJobCluster& cluster;
--- a/Tests/platform/CodecTest.cpp
+++ b/Tests/platform/CodecTest.cpp
@@ -116,6 +116,7 @@
   report.domain = FailureDomainId("z");
   report.labels = { "a", "r1-3" };
   report.capacity = { 1, 2, 3 };
+  report.learnedSlowness = 1430;
   auto stored = ParseStoredReport(EncodeStoredReport(report));
   REQUIRE(stored);
   CHECK(stored->id == "r1");
@@ -123,6 +124,7 @@
   CHECK(stored->sequence == 0);
   CHECK(stored->labels == report.labels);
   CHECK(stored->capacity == report.capacity);
+  CHECK(stored->learnedSlowness == 1430);
   CHECK_FALSE(ParseStoredReport("nonsense"));
 }
 
