LibJob+Entry: Serve the first requests after a restart of everything

Change: StartupHold holds each request for up to 250 ms, during the first second. In the warm-up, a job waits also while a worker became usable in the last 150 ms.

--- a/Libraries/LibJob/Forward.h
+++ b/Libraries/LibJob/Forward.h
@@ -13,6 +13,7 @@
 class RunSupervisor;
 class RunSupervisorPort;
 class RunnerHealth;
+class StartupHold;
 class UpstreamView;
 struct HoldAnswer;
 struct HoldCall;
--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -173,6 +173,9 @@
   }
   view.OnLinked(aNow);
   view.OnStatus(aStatus, aNow);
+  if (aStatus.accepting) {
+    lastWorkerAt_ = aNow;
+  }
   std::vector<protocol::RunCancel> awaited;
   for (const auto& [id, tasks] : view.Outstanding()) {
     protocol::RunCancel item{ id, { tasks.begin(), tasks.end() }, {} };
@@ -231,7 +234,11 @@
 JobDispatcher::OnStatus(const protocol::UpstreamStatus& aStatus,
                         MonotonicTime aNow)
 {
-  views_[aStatus.upstream].OnStatus(aStatus, aNow);
+  auto& view = views_[aStatus.upstream];
+  if (aStatus.accepting && !view.Status().accepting) {
+    lastWorkerAt_ = aNow;
+  }
+  view.OnStatus(aStatus, aNow);
   if (!waitingJobs_.empty() && aNow - lastRetryAt_ >= kRetryInterval) {
     RetryWaitingJobs(aNow);
   }
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -171,15 +171,21 @@
   return aNow - request.arrival < maxWait;
 }
 
+bool
+JobDispatcher::IsWarmingUp(MonotonicTime aNow) const
+{
+  return aNow < warmUpUntil_ &&
+         (placement_.Reason() == PlacementFailure::NoWorker ||
+          aNow - lastWorkerAt_ < limits_.nextWorker);
+}
+
 bool
 JobDispatcher::MayWait(const Job& aJob, MonotonicTime aNow) const
 {
   if (!placement_.CouldFinishInTime()) {
     return false;
   }
-  bool isWarmingUp =
-    aNow < warmUpUntil_ && placement_.Reason() == PlacementFailure::NoWorker;
-  if (isWarmingUp) {
+  if (IsWarmingUp(aNow)) {
     return true;
   }
   return IsWithinWaitLimit(aJob, aNow) &&
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -11,12 +11,6 @@
 namespace {
 constexpr Milliseconds kTickInterval{ 25 };
 constexpr Milliseconds kWakeDelay{ 5 };
-/**
- * A new process learns the configuration from the store or an agent within
- * 100 ms. One that has not is taken to be disconnected from both.
- */
-constexpr Milliseconds kMaxHold{ 250 };
-constexpr std::size_t kMaxHeldRequests = 256;
 constexpr Milliseconds kCallerCheckInterval{ 100 };
 constexpr Milliseconds kRegistrationInterval{ 1000 };
 /**
@@ -120,7 +114,7 @@
     return false;
   }
   auto now = MonotonicNow();
-  holdUntil_ = now + kMaxHold;
+  startupHold_.Begin(now);
   dispatcher_.BeginWarmUp(now);
   operatorFeed_.Start();
   memberFeed_.Start();
@@ -176,7 +170,7 @@
 JobEntry::HoldUntilConfigured(const Exchange& aExchange)
 {
   auto now = MonotonicNow();
-  if (now > holdUntil_ || heldRequests_.size() >= kMaxHeldRequests) {
+  if (!startupHold_.MayHold(heldRequests_.size(), now)) {
     Reject(aExchange, "no_configuration");
     return;
   }
@@ -191,7 +185,7 @@
   for (const auto& request : heldRequests) {
     if (control_.IsKnown()) {
       Serve(request.exchange, request.arrival);
-    } else if (aNow > holdUntil_) {
+    } else if (startupHold_.IsOver(request.arrival, aNow)) {
       Reject(request.exchange, "no_configuration");
     } else {
       heldRequests_.push_back(request);
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -3,6 +3,7 @@
 
 #include "LibJob/ControlView.h"
 #include "LibJob/JobDispatcher.h"
+#include "LibJob/StartupHold.h"
 #include "LibService/ControlExchange.h"
 #include "LibService/EventLoop.h"
 #include "LibService/LoopHttpServer.h"
@@ -117,8 +118,7 @@
   std::unique_ptr<service::LoopHttpServer> metricsServer_;
   std::unordered_map<WaiterId, Exchange> waiters_;
   std::vector<HeldRequest> heldRequests_;
-  /** No request is held after this time. */
-  MonotonicTime holdUntil_;
+  job::StartupHold startupHold_;
   std::uint64_t nextWaiter_ = 1;
   bool isStopping_ = false;
   bool isMember_ = false;
--- a/Tests/LibJob/DecisionsTest.cpp
+++ b/Tests/LibJob/DecisionsTest.cpp
@@ -3,6 +3,7 @@
 #include "LibJob/Placement.h"
 #include "LibJob/ResponseTimeEstimator.h"
 #include "LibJob/RunnerHealth.h"
+#include "LibJob/StartupHold.h"
 
 #include <catch2/catch.hpp>
 
@@ -210,6 +211,23 @@
   CHECK(control.FindRoute("other", "/a/x") == nullptr);
 }
 
+TEST_CASE("requests are held for a configuration, each for a short time")
+{
+  StartupHold hold;
+  hold.Begin(kNow);
+  CHECK(hold.MayHold(0, kNow));
+  CHECK_FALSE(hold.MayHold(256, kNow));
+  // A slow store answers after a few hundred milliseconds: later requests are
+  // still held then, earlier ones have been rejected.
+  auto later = kNow + Milliseconds(400);
+  CHECK(hold.IsOver(kNow, later));
+  CHECK(hold.MayHold(0, later));
+  CHECK_FALSE(hold.IsOver(later - Milliseconds(100), later));
+  // A process without any contact holds nothing for long.
+  CHECK_FALSE(hold.MayHold(0, kNow + Milliseconds(1000)));
+  CHECK(hold.IsOver(kNow + Milliseconds(990), kNow + Milliseconds(1000)));
+}
+
 TEST_CASE("one job that fails everywhere makes no worker suspect")
 {
   RunnerHealth health;
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -465,7 +465,9 @@
       auto found = entry->links.find(node->index);
       bool isCut = cuts_.contains({ entry->index, node->index });
       if (found == entry->links.end()) {
-        bool isConnected = now_ - entry->startedAt >= options_.connectDelay;
+        auto delay = options_.connectDelay +
+                     options_.connectSpread * node->index / options_.agents;
+        bool isConnected = now_ - entry->startedAt >= delay;
         if (!isCut && isConnected) {
           Link(entry->index, node->index);
         }
