LibJob: Revert the wait for further workers after a restart

Cause: a zone is closed there and callers of the outage return at once; the workers that are left end about 2,700 tasks a second from the first moment on, and each job that waits takes the place of another one. Capacity binds, not knowledge of workers.

--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -173,9 +173,6 @@
   }
   view.OnLinked(aNow);
   view.OnStatus(aStatus, aNow);
-  if (aStatus.accepting) {
-    lastWorkerAt_ = aNow;
-  }
   std::vector<protocol::RunCancel> awaited;
   for (const auto& [id, tasks] : view.Outstanding()) {
     protocol::RunCancel item{ id, { tasks.begin(), tasks.end() }, {} };
@@ -234,11 +231,7 @@
 JobDispatcher::OnStatus(const protocol::UpstreamStatus& aStatus,
                         MonotonicTime aNow)
 {
-  auto& view = views_[aStatus.upstream];
-  if (aStatus.accepting && !view.Status().accepting) {
-    lastWorkerAt_ = aNow;
-  }
-  view.OnStatus(aStatus, aNow);
+  views_[aStatus.upstream].OnStatus(aStatus, aNow);
   if (!waitingJobs_.empty() && aNow - lastRetryAt_ >= kRetryInterval) {
     RetryWaitingJobs(aNow);
   }
--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -36,11 +36,6 @@
    * worker meanwhile.
    */
   Milliseconds warmUp{ 1000 };
-  /**
-   * During the warm-up, jobs also wait for this time after the last new worker,
-   * since others are likely to follow.
-   */
-  Milliseconds nextWorker{ 150 };
   /** Reserved before the deadline for the answer to reach the caller. */
   Milliseconds deadlineMargin{ 30 };
   std::size_t maxJobs = 20'000;
@@ -133,11 +128,6 @@
   /** Whether a rejection now would leave the caller time to try elsewhere. */
   static bool IsWithinWaitLimit(const Job& aJob, MonotonicTime aNow);
   void WaitForCapacity(Job& aJob);
-  /**
-   * Whether a new process still gets to know its workers, so that a job which
-   * finds none, or only full ones, may find one soon.
-   */
-  bool IsWarmingUp(MonotonicTime aNow) const;
   /** Whether a job without a worker is likely to get one if it waits. */
   bool MayWait(const Job& aJob, MonotonicTime aNow) const;
   /**
@@ -172,8 +162,6 @@
   bool isWakeScheduled_ = false;
   DrainRate drainRate_;
   MonotonicTime warmUpUntil_;
-  /** When an upstream last began to accept orders. */
-  MonotonicTime lastWorkerAt_;
   MonotonicTime lastRetryAt_;
   std::unordered_map<SubmissionId, Answered> answered_;
 };
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -171,21 +171,15 @@
   return aNow - request.arrival < maxWait;
 }
 
-bool
-JobDispatcher::IsWarmingUp(MonotonicTime aNow) const
-{
-  return aNow < warmUpUntil_ &&
-         (placement_.Reason() == PlacementFailure::NoWorker ||
-          aNow - lastWorkerAt_ < limits_.nextWorker);
-}
-
 bool
 JobDispatcher::MayWait(const Job& aJob, MonotonicTime aNow) const
 {
   if (!placement_.CouldFinishInTime()) {
     return false;
   }
-  if (IsWarmingUp(aNow)) {
+  bool isWarmingUp =
+    aNow < warmUpUntil_ && placement_.Reason() == PlacementFailure::NoWorker;
+  if (isWarmingUp) {
     return true;
   }
   return IsWithinWaitLimit(aJob, aNow) &&
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -465,9 +465,7 @@
       auto found = entry->links.find(node->index);
       bool isCut = cuts_.contains({ entry->index, node->index });
       if (found == entry->links.end()) {
-        auto delay = options_.connectDelay +
-                     options_.connectSpread * node->index / options_.agents;
-        bool isConnected = now_ - entry->startedAt >= delay;
+        bool isConnected = now_ - entry->startedAt >= options_.connectDelay;
         if (!isCut && isConnected) {
           Link(entry->index, node->index);
         }
--- a/Tests/LibJob/SimulatedJobCluster.h
+++ b/Tests/LibJob/SimulatedJobCluster.h
@@ -34,8 +34,6 @@
   double lateCalls = 0;
   /** Delay from an entry's start until agents connect to it. */
   Milliseconds connectDelay{ 0 };
-  /** Time from the first agent's connection to the last one's. */
-  Milliseconds connectSpread{ 0 };
   /**
    * Minimum interval between an agent's status updates to an entry that it has
    * nothing to report to.
