--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -55,7 +55,7 @@
   }
   if (aReport.learnedSlowness > 0) {
     // The saved report came later than the runner's own.
-    health_.Seed(aReport.learnedSlowness);
+    health_.Seed(aReport.learnedSlowness, aNow);
     runner_->report.learnedSlowness = aReport.learnedSlowness;
     ++statusRevision_;
   }
@@ -154,7 +154,7 @@
                            ? runner_->report.learnedSlowness
                            : aReport.learnedSlowness;
   health_.Reset();
-  health_.Seed(learnedSlowness);
+  health_.Seed(learnedSlowness, aNow);
   foreignRuns_.clear();
   runner_ = RunnerIncarnation();
   runner_->report = aReport;
--- a/Libraries/LibJob/RunnerHealth.cpp
+++ b/Libraries/LibJob/RunnerHealth.cpp
@@ -120,15 +120,15 @@
 }
 
 void
-RunnerHealth::Seed(std::int64_t aSlownessPermille)
+RunnerHealth::Seed(std::int64_t aSlownessPermille, MonotonicTime aNow)
 {
   if (samples_ > 0 || aSlownessPermille <= 0) {
     return;
   }
   slowness_ = std::clamp(
     static_cast<double>(aSlownessPermille) / kPermille, kMinRatio, kMaxRatio);
-  typicalSlowness_ = slowness_;
   samples_ = kSeedSamples;
+  sampledAt_ = aNow;
 }
 
 std::int64_t
--- a/Libraries/LibJob/RunnerHealth.h
+++ b/Libraries/LibJob/RunnerHealth.h
@@ -40,9 +40,10 @@
   void Reset();
   /**
    * Starts from a slowness that an earlier process or incarnation had learned,
-   * in thousandths. Does nothing if there are samples already.
+   * in thousandths. It is forgotten if no samples follow. Does nothing if there
+   * are samples already.
    */
-  void Seed(std::int64_t aSlownessPermille);
+  void Seed(std::int64_t aSlownessPermille, MonotonicTime aNow);
   /**
    * The slowness over a long time, in thousandths, which temporary trouble
    * hardly changes; 0 until there are enough samples.
--- a/Tests/LibJob/DecisionsTest.cpp
+++ b/Tests/LibJob/DecisionsTest.cpp
@@ -260,6 +260,21 @@
   CHECK(health.SlownessPermille() < 2000);
 }
 
+TEST_CASE("a seeded slowness that was too high is forgotten without samples")
+{
+  // Otherwise a worker that is taken for slow gets no tasks that show it isn't.
+  RunnerHealth health;
+  health.Seed(2500, kNow);
+  health.OnTick(kNow + Milliseconds(100));
+  CHECK(health.SlownessPermille() == 2500);
+  auto now = kNow;
+  for (int i = 0; i < 60; ++i) {
+    now += Milliseconds(100);
+    health.OnTick(now);
+  }
+  CHECK(health.SlownessPermille() < 1100);
+}
+
 TEST_CASE("the estimated wait follows from the completion rate")
 {
   DrainRate rate;
