--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -15,7 +15,7 @@
   X(200, LinkOpened, "a link to another process was established")              \
   X(201, LinkClosed, "a link to another process was closed")                   \
   X(202, LinkSilent, "a link was closed because its peer was silent too long") \
-  X(203, FrameRefused, "a frame was invalid and its link was closed") \
+  X(203, FrameRefused, "a frame was invalid and its link was closed")          \
   X(204, LinkQueueFull, "a link was closed as its outbound queue was full")    \
   X(300, ConfigurationAdopted, "a newer configuration version was adopted")    \
   X(302, PatchAccepted, "an operator's patch became a configuration version")  \
