Agent+LibJob: Keep known entries while the store fails, and a learned slowness

A failed read of the list of entries counted as an empty list, so that an agent forgot entries that it was not linked to: an entry that restarted while the store was down stayed without agents (system test: not ready within its bound before, ready after). And a slowness that was read after the runner's own report had replaced the saved one was not written back.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -57,6 +57,7 @@
     // The saved report came later than the runner's own.
     health_.Seed(aReport.learnedSlowness, aNow);
     runner_->report.learnedSlowness = aReport.learnedSlowness;
+    port_.SaveReport(runner_->report);
     ++statusRevision_;
   }
   if (aReport.sequence <= runner_->report.sequence) {
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -127,6 +127,9 @@
   }
   lastEntriesReadAt_ = now;
   store_.Read(kEntriesTable, [this](wire::StoreRows aRows) {
+    if (aRows.status != wire::StoreStatus::Done) {
+      return;
+    }
     std::vector<std::string> addresses;
     for (const auto& row : aRows.rows) {
       addresses.push_back(row.value);
--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -1,12 +1,12 @@
 #include "Services/Agent/JobAgentLinks.h"
 #include "LibJob/RunSupervisorPort.h"
+#include "Tests/RunEventBase.h"
 
 #include <catch2/catch.hpp>
-#include <event2/event.h>
-#include <memory>
 
 using namespace vanillaworks;
 using namespace vanillaworks::agent;
+using namespace vanillaworks::tests;
 
 namespace {
 constexpr const char* kAddress = "127.0.0.1:28432";
@@ -53,38 +53,39 @@
   bool isClosed = false;
 };
 
-void
-RunFor(event_base* aBase, Milliseconds aTime)
+/** What the links of an agent need. */
+struct Fixture
 {
-  constexpr Milliseconds kPause{ 2 };
-  for (Milliseconds passed{ 0 }; passed < aTime; passed += kPause) {
-    event_base_loop(aBase, EVLOOP_NONBLOCK);
-    timespec pause{ 0, std::chrono::nanoseconds(kPause).count() };
-    nanosleep(&pause, nullptr);
-  }
-}
+  EventBase base = NewEventBase();
+  job::ControlView control;
+  service::ControlExchange exchange{ control, [](MonotonicTime) {} };
+  IgnoringPort port;
+  job::RunSupervisor supervisor{ UpstreamId("upstream"),
+                                 Incarnation(1),
+                                 {},
+                                 control,
+                                 port };
+};
 }
 
 TEST_CASE("an entry that changes its name on a link loses the link")
 {
-  std::unique_ptr<event_base, decltype(&event_base_free)> base(
-    event_base_new(), &event_base_free);
-  job::ControlView control;
-  service::ControlExchange exchange(control, [](MonotonicTime) {});
-  IgnoringPort port;
-  job::RunSupervisor supervisor(
-    UpstreamId("upstream"), Incarnation(1), {}, control, port);
-  FakeEntry entry(base.get());
+  Fixture fixture;
+  FakeEntry entry(fixture.base.get());
   REQUIRE_FALSE(entry.links.Listen(kAddress).IsError());
-  JobAgentLinks agent(base.get(), { kAddress }, control, exchange, supervisor);
+  JobAgentLinks agent(fixture.base.get(),
+                      { kAddress },
+                      fixture.control,
+                      fixture.exchange,
+                      fixture.supervisor);
   agent.OnTick(MonotonicNow());
-  RunFor(base.get(), Milliseconds(100));
+  RunFor(fixture.base.get(), Milliseconds(100));
   REQUIRE(entry.id.has_value());
   entry.SendResume("entry-1");
-  RunFor(base.get(), Milliseconds(50));
+  RunFor(fixture.base.get(), Milliseconds(50));
   REQUIRE(agent.LinkedEntryCount() == 1);
   entry.SendResume("entry-2");
-  RunFor(base.get(), Milliseconds(100));
+  RunFor(fixture.base.get(), Milliseconds(100));
   CHECK(entry.isClosed);
   CHECK(agent.LinkedEntryCount() == 0);
   // Sends to all linked entries, none of which may be a closed link.
@@ -93,15 +94,12 @@
 
 TEST_CASE("an entry that is no longer listed is forgotten")
 {
-  std::unique_ptr<event_base, decltype(&event_base_free)> base(
-    event_base_new(), &event_base_free);
-  job::ControlView control;
-  service::ControlExchange exchange(control, [](MonotonicTime) {});
-  IgnoringPort port;
-  job::RunSupervisor supervisor(
-    UpstreamId("upstream"), Incarnation(1), {}, control, port);
-  JobAgentLinks agent(
-    base.get(), { "127.0.0.1:28433" }, control, exchange, supervisor);
+  Fixture fixture;
+  JobAgentLinks agent(fixture.base.get(),
+                      { "127.0.0.1:28433" },
+                      fixture.control,
+                      fixture.exchange,
+                      fixture.supervisor);
   agent.SetEntryAddresses({ "127.0.0.1:28434", "127.0.0.1:28435" });
   CHECK(agent.KnownEntryCount() == 3);
   agent.SetEntryAddresses({ "127.0.0.1:28435" });
--- a/Tests/Entry/JobEntryLinksTest.cpp
+++ b/Tests/Entry/JobEntryLinksTest.cpp
@@ -1,12 +1,12 @@
 #include "Services/Entry/JobEntryLinks.h"
 #include "LibJob/JobDispatcherPort.h"
+#include "Tests/RunEventBase.h"
 
 #include <catch2/catch.hpp>
-#include <event2/event.h>
-#include <memory>
 
 using namespace vanillaworks;
 using namespace vanillaworks::entry;
+using namespace vanillaworks::tests;
 
 namespace {
 constexpr const char* kAddress = "127.0.0.1:28431";
@@ -49,24 +49,12 @@
   bool isUp = false;
   bool isClosed = false;
 };
-
-void
-RunFor(event_base* aBase, Milliseconds aTime)
-{
-  constexpr Milliseconds kPause{ 2 };
-  for (Milliseconds passed{ 0 }; passed < aTime; passed += kPause) {
-    event_base_loop(aBase, EVLOOP_NONBLOCK);
-    timespec pause{ 0, std::chrono::nanoseconds(kPause).count() };
-    nanosleep(&pause, nullptr);
-  }
-}
 }
 
 TEST_CASE("a status for another upstream than the link's closes the link and "
           "changes nothing")
 {
-  std::unique_ptr<event_base, decltype(&event_base_free)> base(
-    event_base_new(), &event_base_free);
+  auto base = NewEventBase();
   job::ControlView control;
   service::ControlExchange exchange(control, [](MonotonicTime) {});
   IgnoringPort port;
--- a/Tests/LibJob/RunSupervisorTest.cpp
+++ b/Tests/LibJob/RunSupervisorTest.cpp
@@ -332,6 +332,8 @@
   }
   auto status = later.supervisor.Status(kEntry, later.now);
   CHECK(status.slownessPermille == report.learnedSlowness);
+  // The next process must find it too.
+  CHECK(later.saved.back().learnedSlowness == report.learnedSlowness);
   // A new incarnation with the same labels is likely to be as fast.
   ++later.startedMs;
   later.supervisor.OnRunnerReport(later.Report(), later.now);
--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -155,6 +155,19 @@
   CHECK(CheckRuns(deployment.RunRecords()).empty());
 }
 
+TEST_CASE("agents find a restarted entry although the store has long been down",
+          "[platform-agent]")
+{
+  PlatformDeployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+  deployment.ControlStore("down");
+  deployment.Entry(1).Kill();
+  // Agents read the list of entries every 10 s; that fails now.
+  std::this_thread::sleep_for(11s);
+  deployment.StartEntry(1);
+  CHECK(deployment.WaitForReadiness(1));
+}
+
 TEST_CASE("jobs complete while a runner does not respond", "[platform-agent]")
 {
   PlatformDeployment deployment({});
