--- a/Tests/StandIns/Main.cpp
+++ b/Tests/StandIns/Main.cpp
@@ -51,9 +51,12 @@
     std::cerr << error.what() << "\n";
     return kExitUsage;
   }
-  if (values.count("help") != 0 || values.count("role") == 0 ||
-      values.count("listen") == 0) {
+  if (values.count("help") != 0) {
     std::cout << options;
+    return 0;
+  }
+  if (values.count("role") == 0 || values.count("listen") == 0) {
+    std::cerr << options;
     return kExitUsage;
   }
   auto role = values["role"].as<std::string>();
--- a/Tests/StandIns/Relay.cpp
+++ b/Tests/StandIns/Relay.cpp
@@ -209,6 +209,9 @@
 void
 Relay::Close(Connection* aConnection)
 {
+  if (aConnection->isClosed) {
+    return;
+  }
   aConnection->isClosed = true;
   // A timer frees the connection, so that no bufferevent is freed in its own
   // callback.
--- a/Tests/StandIns/StoreStandIn.cpp
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -176,6 +176,9 @@
     }
     auto exchange = found->exchange;
     pendingFeeds_.erase(found);
+    if (mode_ == "silent") {
+      return;
+    }
     exchange->Respond(
       kOk, Json{ { "rows", Json::array() }, { "ver", revision_ } }.dump());
   });
--- a/Tests/System/PathTest.cpp
+++ b/Tests/System/PathTest.cpp
@@ -1,10 +1,18 @@
 #include "Tests/System/Deployment.h"
+#include "Tests/System/Process.h"
 
 #include <catch2/catch.hpp>
 #include <set>
 
 using namespace vanillaworks::system;
 
+TEST_CASE("a program that was never started doesn't count as ended well",
+          "[path]")
+{
+  Process missing({ "/nonexistent/program" }, "/dev/null");
+  CHECK(missing.WaitForExit(1) == -1);
+}
+
 TEST_CASE("a job's tasks run on several upstreams and its complete answer "
           "is returned",
           "[path]")
--- a/Tests/System/Process.cpp
+++ b/Tests/System/Process.cpp
@@ -71,6 +71,10 @@
 int
 Process::WaitForExit(int aSeconds)
 {
+  if (id_ <= 0) {
+    // Without this, any other child or the lack of one would be reported.
+    return -1;
+  }
   auto until = MonotonicNow() + std::chrono::seconds(aSeconds);
   int status = 0;
   while (MonotonicNow() < until) {
--- a/Tests/System/Process.h
+++ b/Tests/System/Process.h
@@ -26,8 +26,8 @@
   /** Sends SIGKILL and waits until the process has ended. */
   void Kill();
   /**
-   * Returns the exit status, or -1 if the process was ended by a signal or
-   * still runs after aSeconds.
+   * Returns the exit status, or -1 if the process was ended by a signal, still
+   * runs after aSeconds or was never started.
    */
   int WaitForExit(int aSeconds);
 
