--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -9,7 +9,7 @@
 using namespace vanillaworks::tests;
 
 namespace {
-constexpr const char* kAddress = "127.0.0.1:28432";
+const std::string kAddress = LoopbackAddress(28432);
 
 struct IgnoringPort final : job::RunSupervisorPort
 {
--- a/Tests/Entry/JobEntryLinksTest.cpp
+++ b/Tests/Entry/JobEntryLinksTest.cpp
@@ -9,7 +9,7 @@
 using namespace vanillaworks::tests;
 
 namespace {
-constexpr const char* kAddress = "127.0.0.1:28431";
+const std::string kAddress = LoopbackAddress(28431);
 
 struct IgnoringPort final : job::JobDispatcherPort
 {
