--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=review/build
+rm -rf "$build"
 mkdir -p "$build"
 
 compile() { # source file
--- a/review/harness/Deployment.cpp
+++ b/review/harness/Deployment.cpp
@@ -28,8 +28,10 @@
 constexpr std::size_t kStoreProxyHost = 9;
 constexpr std::size_t kFirstEntryHost = 11;
 constexpr std::size_t kFirstWorkerHost = 61;
-constexpr const char* kEntryProgram = "target/Services/Entry/vanillaworks-entry";
-constexpr const char* kAgentProgram = "target/Services/Agent/vanillaworks-agent";
+constexpr const char* kEntryProgram =
+  "target/Services/Entry/vanillaworks-entry";
+constexpr const char* kAgentProgram =
+  "target/Services/Agent/vanillaworks-agent";
 constexpr const char* kHost = "queue.example";
 constexpr const char* kService = "tally";
 const std::string kZones[] = { "pier-end", "promenade" };
@@ -272,14 +274,13 @@
              { "steps", Json::array({ step }) } };
   auto name = "job " + aJob.id + " at entry-" + std::to_string(aEntry + 1);
   record_.Write("client sends " + name);
-  auto result =
-    Send({ At(kFirstEntryHost + aEntry, kFrontPort),
-           "POST",
-           "/q/" + aJob.id,
-           { { "Host", kHost },
-             { "Deadline-Ms", std::to_string(aJob.deadlineMs) } },
-           body.dump(),
-           aJob.deadlineMs });
+  auto result = Send(
+    { At(kFirstEntryHost + aEntry, kFrontPort),
+      "POST",
+      "/q/" + aJob.id,
+      { { "Host", kHost }, { "Deadline-Ms", std::to_string(aJob.deadlineMs) } },
+      body.dump(),
+      aJob.deadlineMs });
   record_.Write("client of " + name + ": " + result.Text());
   return result;
 }
@@ -290,13 +291,13 @@
                  const std::string& aPath,
                  std::int64_t aTimeoutMs)
 {
-  return Send({ At(kFirstEntryHost + aEntry, kFrontPort),
-                aMethod,
-                aPath,
-                { { "Host", kHost },
-                  { "Deadline-Ms", std::to_string(aTimeoutMs) } },
-                "",
-                aTimeoutMs });
+  return Send(
+    { At(kFirstEntryHost + aEntry, kFrontPort),
+      aMethod,
+      aPath,
+      { { "Host", kHost }, { "Deadline-Ms", std::to_string(aTimeoutMs) } },
+      "",
+      aTimeoutMs });
 }
 
 std::vector<RunRecord>
--- a/review/harness/ReportWithoutZone.cpp
+++ b/review/harness/ReportWithoutZone.cpp
@@ -51,8 +51,8 @@
   }
   int breaks = 0;
   for (const auto& run : deployment.Runs()) {
-    bool isLate = run.zone == kZone &&
-                  run.startedMs > acknowledged + kEvacuateMs;
+    bool isLate =
+      run.zone == kZone && run.startedMs > acknowledged + kEvacuateMs;
     breaks += isLate ? 1 : 0;
   }
   return Report(breaks, record);
--- a/review/harness/Store.h
+++ b/review/harness/Store.h
@@ -21,7 +21,8 @@
   explicit Store(const Address& aAddress);
 
   bool Open() { return server_.Open(); }
-  /** Writes a row of the operators' table. The return is the acknowledgement. */
+  /** Writes a row of the operators' table. The return is the acknowledgement.
+   */
   void WriteOperatorRow(const std::string& aKey, const std::string& aValue);
 
 private:
