--- a/review/harness/Runner.cpp
+++ b/review/harness/Runner.cpp
@@ -152,10 +152,10 @@
   bool isOther =
     instance != aRequest.headers.end() && instance->second != options_.id;
   if (isOther) {
-    return { 421, "{}" };
+    return { 421, CommonFields().dump() };
   }
   if (!body.is_object()) {
-    return { 400, "{}" };
+    return { 400, CommonFields().dump() };
   }
   if (!Fence(body)) {
     return Conflict("fence");
@@ -176,7 +176,7 @@
   if (aRequest.path == "/hold") {
     return OnHold(body, lock);
   }
-  return { 400, "{}" };
+  return { 400, CommonFields().dump() };
 }
 
 bool
