--- a/review/harness/CancelElsewhere.cpp
+++ b/review/CancelElsewhere.cpp
@@ -1,7 +1,7 @@
 /** A running job is cancelled through another entry than the one it runs at. */
 
-#include "review/harness/Checks.h"
-#include "review/harness/Deployment.h"
+#include "review/Checks.h"
+#include "review/Deployment.h"
 
 #include <thread>
 
--- a/review/harness/Checks.cpp
+++ b/review/Checks.cpp
@@ -1,6 +1,6 @@
-#include "review/harness/Checks.h"
+#include "review/Checks.h"
 
-#include "review/harness/Deployment.h"
+#include "review/Deployment.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/review/harness/Checks.h
+++ b/review/Checks.h
@@ -1,8 +1,8 @@
-#ifndef review_harness_Checks_h
-#define review_harness_Checks_h
+#ifndef review_Checks_h
+#define review_Checks_h
 
-#include "review/harness/Record.h"
-#include "review/harness/Runner.h"
+#include "review/Record.h"
+#include "review/Runner.h"
 
 #include <vector>
 
--- a/review/harness/CrashingTask.cpp
+++ b/review/CrashingTask.cpp
@@ -1,7 +1,7 @@
 /** A runner crashes right after it has started a task, before its answer. */
 
-#include "review/harness/Checks.h"
-#include "review/harness/Deployment.h"
+#include "review/Checks.h"
+#include "review/Deployment.h"
 
 #include <algorithm>
 
--- a/review/harness/Deployment.cpp
+++ b/review/Deployment.cpp
@@ -1,4 +1,4 @@
-#include "review/harness/Deployment.h"
+#include "review/Deployment.h"
 
 #include <csignal>
 #include <cstdio>
--- a/review/harness/Deployment.h
+++ b/review/Deployment.h
@@ -1,11 +1,11 @@
-#ifndef review_harness_Deployment_h
-#define review_harness_Deployment_h
-
-#include "review/harness/Http.h"
-#include "review/harness/Proxy.h"
-#include "review/harness/Record.h"
-#include "review/harness/Runner.h"
-#include "review/harness/Store.h"
+#ifndef review_Deployment_h
+#define review_Deployment_h
+
+#include "review/Http.h"
+#include "review/Proxy.h"
+#include "review/Record.h"
+#include "review/Runner.h"
+#include "review/Store.h"
 
 #include <cstdint>
 #include <memory>
--- a/review/harness/FrozenEntry.cpp
+++ b/review/FrozenEntry.cpp
@@ -4,8 +4,8 @@
  * frozen entry's sockets when it wakes.
  */
 
-#include "review/harness/Checks.h"
-#include "review/harness/Deployment.h"
+#include "review/Checks.h"
+#include "review/Deployment.h"
 
 #include <csignal>
 #include <thread>
--- a/review/harness/Http.cpp
+++ b/review/Http.cpp
@@ -1,6 +1,6 @@
-#include "review/harness/Http.h"
+#include "review/Http.h"
 
-#include "review/harness/Record.h"
+#include "review/Record.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/review/harness/Http.h
+++ b/review/Http.h
@@ -1,5 +1,5 @@
-#ifndef review_harness_Http_h
-#define review_harness_Http_h
+#ifndef review_Http_h
+#define review_Http_h
 
 #include <atomic>
 #include <cstdint>
--- a/review/harness/LostEntryThenAgent.cpp
+++ b/review/LostEntryThenAgent.cpp
@@ -3,8 +3,8 @@
  * freezes shortly before it would have stopped them.
  */
 
-#include "review/harness/Checks.h"
-#include "review/harness/Deployment.h"
+#include "review/Checks.h"
+#include "review/Deployment.h"
 
 #include <csignal>
 #include <thread>
--- a/review/harness/Proxy.cpp
+++ b/review/Proxy.cpp
@@ -1,6 +1,6 @@
-#include "review/harness/Proxy.h"
+#include "review/Proxy.h"
 
-#include "review/harness/Record.h"
+#include "review/Record.h"
 
 #include <poll.h>
 #include <sys/socket.h>
--- a/review/harness/Proxy.h
+++ b/review/Proxy.h
@@ -1,7 +1,7 @@
-#ifndef review_harness_Proxy_h
-#define review_harness_Proxy_h
+#ifndef review_Proxy_h
+#define review_Proxy_h
 
-#include "review/harness/Http.h"
+#include "review/Http.h"
 
 #include <atomic>
 #include <memory>
--- a/review/harness/Record.cpp
+++ b/review/Record.cpp
@@ -1,4 +1,4 @@
-#include "review/harness/Record.h"
+#include "review/Record.h"
 
 #include <iomanip>
 #include <thread>
--- a/review/harness/Record.h
+++ b/review/Record.h
@@ -1,5 +1,5 @@
-#ifndef review_harness_Record_h
-#define review_harness_Record_h
+#ifndef review_Record_h
+#define review_Record_h
 
 #include <chrono>
 #include <cstdint>
--- a/review/harness/ReportWithoutZone.cpp
+++ b/review/ReportWithoutZone.cpp
@@ -3,8 +3,8 @@
  * zone in which the field "zone" is missing.
  */
 
-#include "review/harness/Checks.h"
-#include "review/harness/Deployment.h"
+#include "review/Checks.h"
+#include "review/Deployment.h"
 
 using namespace review;
 
--- a/review/harness/Runner.cpp
+++ b/review/Runner.cpp
@@ -1,4 +1,4 @@
-#include "review/harness/Runner.h"
+#include "review/Runner.h"
 
 #include <algorithm>
 
--- a/review/harness/Runner.h
+++ b/review/Runner.h
@@ -1,8 +1,8 @@
-#ifndef review_harness_Runner_h
-#define review_harness_Runner_h
+#ifndef review_Runner_h
+#define review_Runner_h
 
-#include "review/harness/Http.h"
-#include "review/harness/Record.h"
+#include "review/Http.h"
+#include "review/Record.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/review/harness/SilentStoreChannels.cpp
+++ b/review/SilentStoreChannels.cpp
@@ -3,8 +3,8 @@
  * ones work. Shortly after, the operator drops a queue.
  */
 
-#include "review/harness/Checks.h"
-#include "review/harness/Deployment.h"
+#include "review/Checks.h"
+#include "review/Deployment.h"
 
 #include <algorithm>
 
--- a/review/harness/Store.cpp
+++ b/review/Store.cpp
@@ -1,6 +1,6 @@
-#include "review/harness/Store.h"
+#include "review/Store.h"
 
-#include "review/harness/Record.h"
+#include "review/Record.h"
 
 #include <nlohmann/json.hpp>
 
--- a/review/harness/Store.h
+++ b/review/Store.h
@@ -1,7 +1,7 @@
-#ifndef review_harness_Store_h
-#define review_harness_Store_h
+#ifndef review_Store_h
+#define review_Store_h
 
-#include "review/harness/Http.h"
+#include "review/Http.h"
 
 #include <condition_variable>
 #include <cstdint>
