LibJob+Entry: Start nothing for a caller that has gone

Cause: nothing looked at the caller's connection when a task was placed, only a timer did every 100 ms. After a freeze the requests that waited in the sockets are handled before that timer.

Evidence: the runners' records begin each double run in the millisecond of the wake and end it with the first look for closed connections; the entry's log has TaskPlaced, 100 ms later CallerGone, then TaskEnded "stopped" of each.

Change: JobDispatcher asks its port whether the caller is connected before it places tasks of a job, unless it was seen to be within the last 100 ms. An attempt whose caller has gone no longer takes over a job from the caller's present attempt. CallerGone says how long the caller waited; a counter counts such callers.

Why it works: a caller tries another entry 1.3 s after its connection ended, far longer than 100 ms; a check older than that is repeated before anything is ordered, whatever was read first after a freeze.

--- a/Libraries/LibJob/Job.h
+++ b/Libraries/LibJob/Job.h
@@ -58,6 +58,8 @@
 {
   JobRequest request;
   std::optional<WaiterId> waiter;
+  /** When the caller was last seen to be connected. */
+  MonotonicTime callerSeenAt;
   JobIntent intent = JobIntent::Serve;
   std::vector<JobTask> tasks;
   std::size_t doneTasks = 0;
@@ -74,6 +76,11 @@
   /** Tasks for which the last placement attempt found no worker. */
   std::size_t unplacedTasks = 0;
   std::map<UpstreamId, std::uint32_t> tasksPerWorker;
+
+  bool HasWaitingTasks() const
+  {
+    return outstanding + doneTasks < tasks.size();
+  }
 };
 
 }
--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -11,6 +11,11 @@
  * triggered by status updates.
  */
 constexpr Milliseconds kRetryInterval{ 5 };
+/**
+ * How long a caller counts as connected after it was seen to be. Much shorter
+ * than the time after which a caller that has gone tries another entry.
+ */
+constexpr Milliseconds kCallerCheckInterval{ 100 };
 }
 
 JobDispatcher::JobDispatcher(JobDispatcherLimits aLimits,
@@ -63,8 +68,13 @@
 JobDispatcher::Reattach(Job& aJob, WaiterId aWaiter, MonotonicTime aNow)
 {
   // The caller submits the job again because the connection of its first
-  // attempt was lost.
+  // attempt was lost. Attempts that waited in sockets may be read in any order,
+  // so an attempt that is over must not replace the one that is waiting.
+  if (!port_.IsCallerConnected(aWaiter)) {
+    return;
+  }
   aJob.waiter = aWaiter;
+  aJob.callerSeenAt = aNow;
   if (aJob.intent != JobIntent::Abandon) {
     return;
   }
@@ -77,20 +87,44 @@
 }
 
 void
-JobDispatcher::OnWaiterDisconnected(const SubmissionId& aJob,
-                                    WaiterId aWaiter,
-                                    MonotonicTime aNow)
+JobDispatcher::OnWaiterDisconnected(const SubmissionId& aJob, WaiterId aWaiter)
 {
   auto found = jobs_.find(aJob);
   if (found == jobs_.end() || found->second.waiter != aWaiter) {
     return;
   }
+  Abandon(found->second);
+}
+
+void
+JobDispatcher::Abandon(Job& aJob)
+{
   // The caller may submit the job to another entry; the runs here must have
   // ended by then.
-  found->second.waiter.reset();
-  found->second.intent = JobIntent::Abandon;
-  CancelOutstanding(found->second, protocol::CancelScope::All);
-  Advance(found->second, aNow);
+  waitingJobs_.erase(aJob.request.id);
+  aJob.waiter.reset();
+  aJob.intent = JobIntent::Abandon;
+  if (aJob.outstanding == 0) {
+    Erase(SubmissionId(aJob.request.id));
+    return;
+  }
+  CancelOutstanding(aJob, protocol::CancelScope::All);
+}
+
+bool
+JobDispatcher::HasCaller(Job& aJob, MonotonicTime aNow)
+{
+  if (!aJob.waiter) {
+    return false;
+  }
+  if (aNow - aJob.callerSeenAt < kCallerCheckInterval) {
+    return true;
+  }
+  if (!port_.IsCallerConnected(*aJob.waiter)) {
+    return false;
+  }
+  aJob.callerSeenAt = aNow;
+  return true;
 }
 
 bool
@@ -350,7 +384,6 @@
 {
   if (aJob.waiter) {
     port_.Answer(*aJob.waiter, aJob.request, aAnswer);
-    aJob.waiter.reset();
   }
   bool isFinal = aAnswer.state == JobState::Completed ||
                  aAnswer.state == JobState::Failed ||
@@ -358,12 +391,7 @@
   if (isFinal) {
     answered_[aJob.request.id] = { aAnswer, aNow + limits_.answerRetention };
   }
-  aJob.intent = JobIntent::Abandon;
-  if (aJob.outstanding == 0) {
-    Erase(SubmissionId(aJob.request.id));
-    return;
-  }
-  CancelOutstanding(aJob, protocol::CancelScope::All);
+  Abandon(aJob);
 }
 
 void
@@ -421,8 +449,7 @@
   std::vector<std::tuple<std::uint32_t, MonotonicTime, SubmissionId>> due;
   for (const auto& [id, job] : jobs_) {
     bool isOver = aNow >= job.request.deadline - limits_.deadlineMargin;
-    bool isWaiting = job.outstanding + job.doneTasks < job.tasks.size();
-    if (isOver || isWaiting) {
+    if (isOver || job.HasWaitingTasks()) {
       due.emplace_back(job.request.route.priority, job.request.arrival, id);
     }
   }
--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -59,13 +59,11 @@
   void BeginWarmUp(MonotonicTime aNow);
   /**
    * Accepts a job. The waiter is answered through the port, possibly before
-   * this call returns.
+   * this call returns. Nothing is started for a caller that has disconnected.
    */
   void Submit(JobRequest aRequest, WaiterId aWaiter, MonotonicTime aNow);
   /** Handles a disconnected caller; the runs of its job are stopped. */
-  void OnWaiterDisconnected(const SubmissionId& aJob,
-                            WaiterId aWaiter,
-                            MonotonicTime aNow);
+  void OnWaiterDisconnected(const SubmissionId& aJob, WaiterId aWaiter);
   /** Returns false if the job is not served by this entry. */
   bool Cancel(const SubmissionId& aJob, MonotonicTime aNow);
   /** Whether this entry currently serves the job. */
@@ -120,6 +118,10 @@
   void Reattach(Job& aJob, WaiterId aWaiter, MonotonicTime aNow);
   /** Places waiting tasks and answers the job if it is over. May erase aJob. */
   void Advance(Job& aJob, MonotonicTime aNow);
+  /** Whether the caller still waits, as of a moment ago at most. */
+  bool HasCaller(Job& aJob, MonotonicTime aNow);
+  /** Stops the runs of a job that no caller waits for. May erase aJob. */
+  void Abandon(Job& aJob);
   bool PlaceWaiting(Job& aJob, MonotonicTime aNow);
   void SendOrders(Job& aJob,
                   const std::map<UpstreamId, std::vector<std::uint32_t>>& aPlan,
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -47,6 +47,10 @@
     aJob.intent = JobIntent::Serve;
     aJob.isLate = aJob.hasStarted;
   }
+  if (aJob.HasWaitingTasks() && !HasCaller(aJob, aNow)) {
+    Abandon(aJob);
+    return;
+  }
   if (!PlaceWaiting(aJob, aNow)) {
     OnPlacementFailed(aJob, aNow);
   }
--- a/Libraries/LibJob/JobDispatcherPort.h
+++ b/Libraries/LibJob/JobDispatcherPort.h
@@ -20,6 +20,11 @@
   virtual void Answer(WaiterId aWaiter,
                       const JobRequest& aJob,
                       const JobAnswer& aAnswer) = 0;
+  /**
+   * Whether the caller is still connected, checked now. A request may have
+   * waited in a socket while this process did not run.
+   */
+  virtual bool IsCallerConnected(WaiterId aWaiter) = 0;
   /**
    * Requests a call of OnWake() in a few milliseconds, because a job waits for
    * capacity.
--- a/Libraries/LibService/LoopHttpExchange.h
+++ b/Libraries/LibService/LoopHttpExchange.h
@@ -49,12 +49,13 @@
     onDisconnected_ = std::move(aFunction);
   }
 
+  /** Whether the caller has closed its connection, checked now. */
+  bool IsCallerDisconnected() const;
+
 private:
   friend class LoopHttpServer;
   friend struct LoopHttpCallbacks;
 
-  /** Whether the caller has closed its connection. */
-  bool IsCallerDisconnected() const;
   void Detach();
 
   LoopHttpServer* server_;
--- a/Libraries/LibService/LoopHttpServer.cpp
+++ b/Libraries/LibService/LoopHttpServer.cpp
@@ -138,6 +138,9 @@
 bool
 LoopHttpExchange::IsCallerDisconnected() const
 {
+  if (!handle_) {
+    return true;
+  }
   auto* connection = evhttp_request_get_connection(handle_);
   if (!connection) {
     return true;
--- a/Libraries/LibService/MetricsCatalogue.h
+++ b/Libraries/LibService/MetricsCatalogue.h
@@ -15,6 +15,8 @@
 inline constexpr MetricDescription kMetrics[] = {
   { "vanillaworks_answers_total", "responses to callers, by state" },
   { "vanillaworks_refusals_total", "refusals, by reason" },
+  { "vanillaworks_callers_gone_total",
+    "callers that disconnected before their response" },
   { "vanillaworks_retries_total", "tasks reassigned, by reason" },
   { "vanillaworks_starts_total", "tasks sent to an agent or upstream" },
   { "vanillaworks_in_flight", "tasks accepted but not ended" },
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -39,6 +39,12 @@
   return Incarnation(static_cast<std::uint64_t>(
     std::chrono::system_clock::now().time_since_epoch().count()));
 }
+
+Milliseconds
+ElapsedSince(MonotonicTime aTime)
+{
+  return std::chrono::duration_cast<Milliseconds>(MonotonicNow() - aTime);
+}
 }
 
 JobEntry::JobEntry(JobEntrySettings aSettings, service::EventLoop& aLoop)
@@ -281,10 +287,10 @@
     return;
   }
   WaiterId waiter(nextWaiter_++);
-  aExchange->OnCallerDisconnected([this, waiter, id = *id] {
-    Log::Write(Event::CallerGone, { { "job", id.Value() } });
+  aExchange->OnCallerDisconnected([this, waiter, id = *id, aArrival] {
+    observer_.OnCallerGone(id, ElapsedSince(aArrival));
     waiters_.erase(waiter);
-    dispatcher_.OnWaiterDisconnected(id, waiter, MonotonicNow());
+    dispatcher_.OnWaiterDisconnected(id, waiter);
   });
   waiters_.emplace(waiter, aExchange);
   dispatcher_.Submit(std::move(job), waiter, MonotonicNow());
@@ -310,9 +316,7 @@
                  const job::JobAnswer& aAnswer)
 {
   auto reply = wire::ReplyFor(aAnswer);
-  auto elapsed =
-    std::chrono::duration_cast<Milliseconds>(MonotonicNow() - aJob.arrival);
-  observer_.OnAnswered(aJob, aAnswer, reply.status, elapsed);
+  observer_.OnAnswered(aJob, aAnswer, reply.status, ElapsedSince(aJob.arrival));
   auto found = waiters_.find(aWaiter);
   if (found == waiters_.end()) {
     return;
@@ -333,6 +337,13 @@
   aExchange.Reply(aReply.status, aReply.body, headers);
 }
 
+bool
+JobEntry::IsCallerConnected(WaiterId aWaiter)
+{
+  auto found = waiters_.find(aWaiter);
+  return found != waiters_.end() && !found->second->IsCallerDisconnected();
+}
+
 void
 JobEntry::ScheduleWake()
 {
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -55,6 +55,7 @@
   void Answer(WaiterId aWaiter,
               const job::JobRequest& aJob,
               const job::JobAnswer& aAnswer) override;
+  bool IsCallerConnected(WaiterId aWaiter) override;
   void ScheduleWake() override;
   void OnPlaced(const job::TaskPlaced& aEvent) override
   {
--- a/Services/Entry/JobObserver.cpp
+++ b/Services/Entry/JobObserver.cpp
@@ -138,6 +138,14 @@
                       { "since_placed_ms", ToText(aEvent.sincePlaced) } });
 }
 
+void
+JobObserver::OnCallerGone(const SubmissionId& aJob, Milliseconds aWaited)
+{
+  metrics_.Counter("vanillaworks_callers_gone_total").Increment();
+  Log::Write(Event::CallerGone,
+             { { "job", aJob.Value() }, { "waited_ms", ToText(aWaited) } });
+}
+
 void
 JobObserver::OnRejectedUnparsed(std::string_view aField,
                                 const std::string& aIdentifier,
--- a/Services/Entry/JobObserver.h
+++ b/Services/Entry/JobObserver.h
@@ -40,6 +40,8 @@
                   Milliseconds aElapsed);
   void OnPlaced(const job::TaskPlaced& aEvent);
   void OnEnded(const job::TaskEnded& aEvent);
+  /** aWaited: time since the job's request arrived. */
+  void OnCallerGone(const SubmissionId& aJob, Milliseconds aWaited);
   /**
    * Records a request that was rejected without a parsed job.
    * aField: the log field, "path" or "job"; aIdentifier: its value.
--- a/Tests/Entry/JobEntryLinksTest.cpp
+++ b/Tests/Entry/JobEntryLinksTest.cpp
@@ -17,6 +17,7 @@
   void Answer(WaiterId, const job::JobRequest&, const job::JobAnswer&) override
   {
   }
+  bool IsCallerConnected(WaiterId) override { return true; }
   void ScheduleWake() override {}
   void OnPlaced(const job::TaskPlaced&) override {}
   void OnEnded(const job::TaskEnded&) override {}
--- /dev/null
+++ b/Tests/LibJob/JobDispatcherTest.cpp
@@ -0,0 +1,134 @@
+#include "LibJob/JobDispatcher.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace vanillaworks;
+using namespace vanillaworks::job;
+
+namespace {
+const MonotonicTime kNow{ std::chrono::hours(1) };
+const SubmissionId kJob("0000000000000001");
+const UpstreamId kUpstream("upstream");
+const WaiterId kFirstWaiter{ 1 };
+const WaiterId kSecondWaiter{ 2 };
+constexpr Milliseconds kWork{ 100 };
+constexpr Milliseconds kCallerTimeout{ 1500 };
+
+/** Records what the dispatcher sends, and plays the callers' connections. */
+struct RecordingPort final : JobDispatcherPort
+{
+  void SendToAgent(const UpstreamId&, protocol::Message aMessage) override
+  {
+    if (auto* order = std::get_if<protocol::RunOrder>(&aMessage)) {
+      orders.push_back(std::move(*order));
+    }
+  }
+  void Answer(WaiterId aWaiter,
+              const JobRequest&,
+              const JobAnswer& aAnswer) override
+  {
+    answers.emplace_back(aWaiter, aAnswer);
+  }
+  bool IsCallerConnected(WaiterId aWaiter) override
+  {
+    return !disconnected.contains(aWaiter);
+  }
+  void ScheduleWake() override {}
+  void OnPlaced(const TaskPlaced&) override {}
+  void OnEnded(const TaskEnded&) override {}
+
+  std::set<WaiterId> disconnected;
+  std::vector<protocol::RunOrder> orders;
+  std::vector<std::pair<WaiterId, JobAnswer>> answers;
+};
+
+/** A dispatcher with one linked upstream of free capacity. */
+struct Fixture
+{
+  Fixture() { dispatcher.OnAgentUp(Status(), kNow); }
+
+  static protocol::UpstreamStatus Status()
+  {
+    protocol::UpstreamStatus status;
+    status.upstream = kUpstream;
+    status.service = "tally";
+    status.domain = FailureDomainId("pier-end");
+    status.cpu = 8000;
+    status.memory = 100'000;
+    status.cpuFree = 8000;
+    status.memoryFree = 100'000;
+    status.slownessPermille = 1000;
+    status.accepting = true;
+    return status;
+  }
+
+  static JobRequest Request(MonotonicTime aArrival)
+  {
+    JobRequest request;
+    request.id = kJob;
+    request.route.service = "tally";
+    request.route.stretch = 1.6;
+    request.route.targetLatencyMs = 60;
+    request.route.maxAttempts = 2;
+    request.demand = { 1000, 64, 0 };
+    request.estimate = kWork;
+    request.arrival = aArrival;
+    request.deadline = aArrival + kCallerTimeout;
+    return request;
+  }
+
+  void Report(protocol::RunOutcome aOutcome, MonotonicTime aNow)
+  {
+    dispatcher.OnReport(
+      kUpstream, { kJob, { { { 0, 1 }, aOutcome, 10 } } }, aNow);
+  }
+
+  RecordingPort port;
+  ControlView control;
+  JobDispatcher dispatcher{ {}, control, 1, port };
+};
+}
+
+// An entry that was frozen ran requests from its sockets although their callers
+// had gone and had sent their jobs to another entry.
+TEST_CASE("a job whose caller has disconnected is not started")
+{
+  Fixture fixture;
+  fixture.port.disconnected = { kFirstWaiter };
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, kNow);
+  CHECK(fixture.port.orders.empty());
+  CHECK_FALSE(fixture.dispatcher.IsServing(kJob));
+}
+
+// A frozen entry holds jobs that it accepted before; their callers may have
+// gone while it could not notice.
+TEST_CASE("a task is not placed again once its caller has disconnected")
+{
+  Fixture fixture;
+  auto request = Fixture::Request(kNow);
+  request.deadline = kNow + std::chrono::seconds(10);
+  fixture.dispatcher.Submit(request, kFirstWaiter, kNow);
+  REQUIRE(fixture.port.orders.size() == 1);
+  fixture.port.disconnected = { kFirstWaiter };
+  auto afterFreeze = kNow + std::chrono::seconds(4);
+  fixture.dispatcher.OnStatus(Fixture::Status(), afterFreeze);
+  fixture.Report(protocol::RunOutcome::Stopped, afterFreeze);
+  CHECK(fixture.port.orders.size() == 1);
+  CHECK_FALSE(fixture.dispatcher.IsServing(kJob));
+}
+
+// After a freeze, the sockets hold a caller's old attempt and its present one,
+// in any order.
+TEST_CASE("an old attempt does not take the job from the caller's present one")
+{
+  Fixture fixture;
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kSecondWaiter, kNow);
+  fixture.port.disconnected = { kFirstWaiter };
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, kNow);
+  fixture.dispatcher.OnWaiterDisconnected(kJob, kFirstWaiter);
+  fixture.Report(protocol::RunOutcome::Done, kNow + kWork);
+  REQUIRE(fixture.port.answers.size() == 1);
+  CHECK(fixture.port.answers.front().first == kSecondWaiter);
+  CHECK(fixture.port.answers.front().second.state == JobState::Completed);
+}
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -48,6 +48,10 @@
   {
     cluster.OnAnswer(index, aWaiter, aAnswer);
   }
+  bool IsCallerConnected(WaiterId aWaiter) override
+  {
+    return waiters.contains(aWaiter);
+  }
   void ScheduleWake() override
   {
     cluster.Schedule(Milliseconds(5), [this, ofIncarnation = incarnation] {
--- a/Tests/System/PlatformDeployment.cpp
+++ b/Tests/System/PlatformDeployment.cpp
@@ -25,8 +25,6 @@
 constexpr std::size_t kStoreHostNumber = 10;
 constexpr std::size_t kStoreRelayHostNumber = 9;
 constexpr std::size_t kFirstEntryRelayHostNumber = 41;
-constexpr Milliseconds kCallTimeout{ 8000 };
-constexpr Milliseconds kRetryDelay{ 1300 };
 constexpr Milliseconds kRecoveryBound{ 12'000 };
 constexpr int kMaxAttempts = 6;
 constexpr long kOk = 200;
@@ -49,7 +47,7 @@
 std::string
 FetchMetrics(const std::string& aAddress)
 {
-  platform::HttpClient client(kCallTimeout);
+  platform::HttpClient client(PlatformDeployment::kCallTimeout);
   return ToCallerAnswer(client.Get("http://" + aAddress + "/metrics")).body;
 }
 }
@@ -322,9 +320,10 @@
 CallerAnswer
 PlatformDeployment::Post(std::size_t aEntry,
                          const std::string& aPath,
-                         const std::string& aBody) const
+                         const std::string& aBody,
+                         Milliseconds aTimeout) const
 {
-  platform::HttpClient client(kCallTimeout);
+  platform::HttpClient client(aTimeout);
   return ToCallerAnswer(client.Post(
     "http://" + Address(kFirstEntryHostNumber + aEntry, kFrontPort) + aPath,
     aBody));
@@ -364,7 +363,8 @@
 PlatformDeployment::Submit(std::size_t aEntry,
                            const std::string& aId,
                            std::size_t aTaskCount,
-                           int aTaskMilliseconds) const
+                           int aTaskMilliseconds,
+                           Milliseconds aTimeout) const
 {
   Json body{ { "spec", std::to_string(aTaskMilliseconds) },
              { "bestEffort", true },
@@ -373,7 +373,7 @@
                    { "cpu", 1000 },
                    { "memMb", 64 },
                    { "estimateMs", aTaskMilliseconds } } } } };
-  return Post(aEntry, "/tally/" + aId, body.dump());
+  return Post(aEntry, "/tally/" + aId, body.dump(), aTimeout);
 }
 
 CallerAnswer
--- a/Tests/System/PlatformDeployment.h
+++ b/Tests/System/PlatformDeployment.h
@@ -1,6 +1,7 @@
 #ifndef Tests_System_PlatformDeployment_h
 #define Tests_System_PlatformDeployment_h
 
+#include "LibCore/Time.h"
 #include "Tests/System/Process.h"
 
 #include <cstdint>
@@ -59,6 +60,9 @@
 {
 public:
   using Json = nlohmann::json;
+  static constexpr Milliseconds kCallTimeout{ 8000 };
+  /** Time after which a caller without a response submits its job again. */
+  static constexpr Milliseconds kRetryDelay{ 1300 };
 
   explicit PlatformDeployment(PlatformOptions aOptions);
   ~PlatformDeployment();
@@ -86,14 +90,19 @@
   const PlatformOptions& Options() const { return options_; }
   const std::string& DomainOf(std::size_t aWorker) const;
 
-  /** Submits a job to one entry, once. */
+  /**
+   * Submits a job to one entry, once. The caller closes its connection if it
+   * has no response after aTimeout.
+   */
   CallerAnswer Submit(std::size_t aEntry,
                       const std::string& aId,
                       std::size_t aTaskCount,
-                      int aTaskMilliseconds) const;
+                      int aTaskMilliseconds,
+                      Milliseconds aTimeout = kCallTimeout) const;
   CallerAnswer Post(std::size_t aEntry,
                     const std::string& aPath,
-                    const std::string& aBody) const;
+                    const std::string& aBody,
+                    Milliseconds aTimeout = kCallTimeout) const;
   /**
    * Submits a job as the platform's callers do: after no response, 502 or 504
    * it retries on the next entry 1.3 s later, with 6 attempts at most.
--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -137,6 +137,41 @@
   CHECK(CheckRuns(deployment.RunRecords()).empty());
 }
 
+// A paused entry that resumed ran the jobs that had waited in its sockets while
+// their callers ran them at another entry.
+TEST_CASE("a paused entry resumes and runs no job that is now served elsewhere",
+          "[platform-entry]")
+{
+  constexpr std::uint64_t kFirstJob = 210;
+  constexpr std::uint64_t kJobs = 12;
+  constexpr int kTaskMilliseconds = 900;
+  PlatformDeployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+  auto pausedAt = std::chrono::steady_clock::now();
+  deployment.Entry(0).Signal(SIGSTOP);
+  std::this_thread::sleep_for(1000ms);
+  std::vector<std::future<CallerAnswer>> calls;
+  for (std::uint64_t i = 0; i < kJobs; ++i) {
+    calls.push_back(std::async(std::launch::async, [&deployment, i] {
+      auto id = PlatformDeployment::JobId(kFirstJob + i);
+      auto first = deployment.Submit(0, id, 1, kTaskMilliseconds, 1500ms);
+      if (first.status != 0) {
+        return first;
+      }
+      std::this_thread::sleep_for(PlatformDeployment::kRetryDelay);
+      return deployment.Submit(1, id, 1, kTaskMilliseconds);
+    }));
+  }
+  std::this_thread::sleep_until(pausedAt + 4000ms);
+  deployment.Entry(0).Signal(SIGCONT);
+  std::vector<CallerAnswer> answers;
+  for (auto& call : calls) {
+    answers.push_back(call.get());
+  }
+  CHECK(CountServed(answers) == kJobs);
+  CHECK(CheckRuns(deployment.RunRecords()).empty());
+}
+
 TEST_CASE("agents are killed and paused with tasks running", "[platform-agent]")
 {
   PlatformDeployment deployment({});
