LibService+Entry: Count the time that a request waits in its socket

After a freeze the request's deadline began anew; where the caller's close never reaches the entry, nothing else tells that the caller has given up and gone elsewhere.

Change: LoopHttpExchange::ReceivedAt() subtracts the time since the last received data (TCP_INFO). Deadline and goal of a job count from there. A job that is read after its deadline is rejected as not run; one that is read after its goal is still served if it can start at once.

--- a/Libraries/LibService/LoopHttpExchange.h
+++ b/Libraries/LibService/LoopHttpExchange.h
@@ -1,6 +1,7 @@
 #ifndef Libraries_LibService_LoopHttpExchange_h
 #define Libraries_LibService_LoopHttpExchange_h
 
+#include "LibCore/Time.h"
 #include "LibService/HttpRequest.h"
 
 #include <functional>
@@ -36,6 +37,12 @@
   std::optional<std::string> Header(const char* aName) const;
   /** The Host header without the port. */
   std::string Host() const;
+  /**
+   * When the end of the request arrived at this host. It may have waited in its
+   * socket since then. The present time if the host doesn't tell. To be called
+   * before the caller sends anything further.
+   */
+  MonotonicTime ReceivedAt() const;
 
   /**
    * Sends the response with a JSON body. Later calls and disconnected callers
@@ -57,6 +64,8 @@
   friend struct LoopHttpCallbacks;
 
   void Detach();
+  /** The connection's socket; -1 if it is closed. */
+  int Socket() const;
 
   LoopHttpServer* server_;
   evhttp_request* handle_;
--- a/Libraries/LibService/LoopHttpServer.cpp
+++ b/Libraries/LibService/LoopHttpServer.cpp
@@ -107,6 +107,26 @@
   return host.substr(0, host.find(':'));
 }
 
+int
+LoopHttpExchange::Socket() const
+{
+  auto* connection = handle_ ? evhttp_request_get_connection(handle_) : nullptr;
+  if (!connection) {
+    return -1;
+  }
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+}
+
+MonotonicTime
+LoopHttpExchange::ReceivedAt() const
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  bool isKnown = getsockopt(Socket(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+  auto now = MonotonicNow();
+  return isKnown ? now - Milliseconds(info.tcpi_last_data_recv) : now;
+}
+
 void
 LoopHttpExchange::Reply(int aStatus,
                         const std::string& aBody,
@@ -138,15 +158,10 @@
 bool
 LoopHttpExchange::IsCallerDisconnected() const
 {
-  if (!handle_) {
-    return true;
-  }
-  auto* connection = evhttp_request_get_connection(handle_);
-  if (!connection) {
+  int socket = Socket();
+  if (socket < 0) {
     return true;
   }
-  auto socket =
-    bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
   char byte = 0;
   auto receivedBytes = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return receivedBytes == 0 || (receivedBytes < 0 && errno != EAGAIN &&
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -169,18 +169,17 @@
     HoldUntilConfigured(aExchange);
     return;
   }
-  Serve(aExchange, MonotonicNow());
+  Serve(aExchange, aExchange->ReceivedAt());
 }
 
 void
 JobEntry::HoldUntilConfigured(const Exchange& aExchange)
 {
-  auto now = MonotonicNow();
-  if (!startupHold_.MayHold(heldRequests_.size(), now)) {
+  if (!startupHold_.MayHold(heldRequests_.size(), MonotonicNow())) {
     Reject(aExchange, "no_configuration");
     return;
   }
-  heldRequests_.push_back({ aExchange, now });
+  heldRequests_.push_back({ aExchange, aExchange->ReceivedAt() });
 }
 
 void
--- a/Tests/LibJob/JobDispatcherTest.cpp
+++ b/Tests/LibJob/JobDispatcherTest.cpp
@@ -132,3 +132,28 @@
   CHECK(fixture.port.answers.front().first == kSecondWaiter);
   CHECK(fixture.port.answers.front().second.state == JobState::Completed);
 }
+
+// The time that a request waits in a socket counts towards its deadline.
+TEST_CASE("a job that is read after its deadline is rejected as not run")
+{
+  Fixture fixture;
+  auto readAt = kNow + kCallerTimeout;
+  fixture.dispatcher.OnStatus(Fixture::Status(), readAt);
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, readAt);
+  CHECK(fixture.port.orders.empty());
+  REQUIRE(fixture.port.answers.size() == 1);
+  CHECK(fixture.port.answers.front().second.state == JobState::Rejected);
+}
+
+TEST_CASE("a job that is read after its goal is served before its deadline")
+{
+  Fixture fixture;
+  auto readAt = kNow + Milliseconds(300);
+  REQUIRE(readAt > Fixture::Request(kNow).Goal());
+  fixture.dispatcher.OnStatus(Fixture::Status(), readAt);
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, readAt);
+  CHECK(fixture.port.orders.size() == 1);
+  fixture.Report(protocol::RunOutcome::Done, readAt + kWork);
+  REQUIRE(fixture.port.answers.size() == 1);
+  CHECK(fixture.port.answers.front().second.state == JobState::Completed);
+}
--- /dev/null
+++ b/Tests/LibService/LoopHttpServerTest.cpp
@@ -0,0 +1,99 @@
+#include "LibService/LoopHttpServer.h"
+#include "Tests/RunEventBase.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+using namespace vanillaworks;
+using namespace vanillaworks::service;
+using namespace vanillaworks::tests;
+
+namespace {
+constexpr int kPort = 28441;
+const std::string kAddress = LoopbackAddress(kPort);
+
+/** A connection that has sent one request; closes at the end of its scope. */
+class Caller
+{
+public:
+  Caller()
+    : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kPort);
+    auto host = kAddress.substr(0, kAddress.find(':'));
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    constexpr std::string_view kRequest =
+      "POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
+    isSent_ = connect(socket_,
+                      reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)) == 0 &&
+              send(socket_, kRequest.data(), kRequest.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(kRequest.size());
+  }
+  ~Caller() { Close(); }
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
+
+  bool IsSent() const { return isSent_; }
+  void Close()
+  {
+    if (socket_ >= 0) {
+      close(socket_);
+    }
+    socket_ = -1;
+  }
+
+private:
+  int socket_;
+  bool isSent_ = false;
+};
+}
+
+// After a freeze an entry took the time at which it read a request for the time
+// of its arrival, so that the request's deadline began anew.
+TEST_CASE("a request that waited in its socket has arrived before it was read")
+{
+  // The host counts this time in steps of a few milliseconds.
+  constexpr Milliseconds kResolution{ 10 };
+  auto base = NewEventBase();
+  MonotonicTime receivedAt;
+  auto server = LoopHttpServer::Create(
+    base.get(), { kAddress }, [&](std::shared_ptr<LoopHttpExchange> aExchange) {
+      receivedAt = aExchange->ReceivedAt();
+      aExchange->Reply(200, "{}");
+    });
+  REQUIRE_FALSE(server.IsError());
+  auto connectedAfter = MonotonicNow();
+  Caller caller;
+  REQUIRE(caller.IsSent());
+  std::this_thread::sleep_for(Milliseconds(300));
+  auto readingSince = MonotonicNow();
+  RunFor(base.get(), Milliseconds(50));
+  CHECK(receivedAt >= connectedAfter - kResolution);
+  CHECK(receivedAt < readingSince);
+}
+
+TEST_CASE("a closed connection shows at once although its request was not read")
+{
+  auto base = NewEventBase();
+  std::vector<bool> areDisconnected;
+  auto server = LoopHttpServer::Create(
+    base.get(), { kAddress }, [&](std::shared_ptr<LoopHttpExchange> aExchange) {
+      areDisconnected.push_back(aExchange->IsCallerDisconnected());
+      aExchange->Reply(200, "{}");
+    });
+  REQUIRE_FALSE(server.IsError());
+  Caller gone;
+  REQUIRE(gone.IsSent());
+  gone.Close();
+  RunFor(base.get(), Milliseconds(50));
+  CHECK(areDisconnected == std::vector<bool>{ true });
+  Caller waiting;
+  REQUIRE(waiting.IsSent());
+  RunFor(base.get(), Milliseconds(50));
+  CHECK(areDisconnected == std::vector<bool>{ true, false });
+}
