LibHttp+LibService: Don't take a lost request for one that was never sent

Cause: libcurl sends a request again on a new connection if a kept one is lost before the response. The crashed runner refused the new connection, and LoopHttpClient took CURLE_COULDNT_CONNECT for "nothing was sent". The agent ended the run as never started and the entry rejected the job.

Evidence: against a server that drops a kept connection after it has read a request, the client reported wasNeverSent where new connections were refused, and sent the request twice where they were accepted.

Ruled out: RunSupervisor, which handles a start without an answer rightly and is unchanged.

Change: SendTracker counts each beginning of a send (CURLOPT_PREREQFUNCTION). A request with a method that is not idempotent (RFC 9110, 9.2.2) is sent once; its second attempt is aborted, so that the call has no answer. wasNeverSent also needs that nothing was sent before. The agent logs and counts starts without an answer (E708), which logs could not tell from refused ones.

Why it works: every start call is now at most one request on the wire, and its outcome is the outcome of that request. This covers the second copy's other answers too (old, room, 503), which said nothing about the first.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -40,6 +40,7 @@
   X(703, TaskPlaced, "a task was assigned to an agent")                        \
   X(704, TaskEnded, "an agent reported the outcome of a run")                  \
   X(706, RunEnded, "a run ended at the runner")                                \
-  X(707, CallerGone, "a caller disconnected before its response was sent")
+  X(707, CallerGone, "a caller disconnected before its response was sent")     \
+  X(708, StartUnanswered, "a start call got no answer: the task may have run")
 
 #endif
--- a/Libraries/LibService/LoopHttpClient.cpp
+++ b/Libraries/LibService/LoopHttpClient.cpp
@@ -1,5 +1,7 @@
 #include "LibService/LoopHttpClient.h"
 
+#include "LibHttp/SendTracker.h"
+
 #include <event2/event.h>
 
 namespace vanillaworks::service {
@@ -11,7 +13,14 @@
 
 struct LoopHttpClient::Transfer
 {
+  explicit Transfer(LoopHttpRequest aRequest)
+    : request(std::move(aRequest))
+    , sendTracker(request.method)
+  {
+  }
+
   LoopHttpRequest request;
+  http::SendTracker sendTracker;
   LoopHttpResponse response;
   OnResponse onResponse;
   curl_slist* headers = nullptr;
@@ -109,8 +118,7 @@
 LoopHttpClient::Call(LoopHttpRequest aRequest, OnResponse aOnResponse)
 {
   auto* handle = AcquireHandle();
-  auto transfer = std::make_unique<Transfer>();
-  transfer->request = std::move(aRequest);
+  auto transfer = std::make_unique<Transfer>(std::move(aRequest));
   transfer->onResponse = std::move(aOnResponse);
   const auto& request = transfer->request;
   for (const auto& header : request.headers) {
@@ -135,6 +143,7 @@
   curl_easy_setopt(
     handle, CURLOPT_WRITEFUNCTION, &LoopHttpClientCallbacks::OnBodyData);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer->response.body);
+  transfer->sendTracker.Attach(handle);
   transfers_.emplace(handle, std::move(transfer));
   curl_multi_add_handle(multi_, handle);
 }
@@ -199,7 +208,8 @@
       curl_easy_getinfo(
         handle, CURLINFO_RESPONSE_CODE, &transfer->response.status);
     }
-    transfer->response.wasNeverSent = result == CURLE_COULDNT_CONNECT;
+    transfer->response.wasNeverSent = result == CURLE_COULDNT_CONNECT &&
+                                      !transfer->sendTracker.MayHaveBeenSent();
     curl_multi_remove_handle(multi_, handle);
     if (idleHandles_.size() < kMaxIdleHandles) {
       idleHandles_.push_back(handle);
--- a/Libraries/LibService/LoopHttpClient.h
+++ b/Libraries/LibService/LoopHttpClient.h
@@ -32,15 +32,16 @@
   /** 0 if no complete response was received. */
   long status = 0;
   std::string body;
-  /** Set if no connection could be made, so that no data was sent. */
+  /** Set if no connection could be made, so that no data was ever sent. */
   bool wasNeverSent = false;
 };
 
 /**
  * HTTP/1.1 client on the event loop's thread with persistent connections
  * (libcurl's multi interface). A request that times out closes its connection,
- * so that an unresponsive connection is not reused. All calls must come from
- * the loop's thread.
+ * so that an unresponsive connection is not reused. A request whose connection
+ * is lost is sent again only if its method is idempotent. All calls must come
+ * from the loop's thread.
  */
 class LoopHttpClient
 {
--- a/Libraries/LibService/MetricsCatalogue.h
+++ b/Libraries/LibService/MetricsCatalogue.h
@@ -19,6 +19,8 @@
     "callers that disconnected before their response" },
   { "vanillaworks_retries_total", "tasks reassigned, by reason" },
   { "vanillaworks_starts_total", "tasks sent to an agent or upstream" },
+  { "vanillaworks_unanswered_starts_total",
+    "start calls to the runner without an answer" },
   { "vanillaworks_in_flight", "tasks accepted but not ended" },
   { "vanillaworks_queued", "tasks waiting to be assigned or started" },
   { "vanillaworks_remembered", "submissions or starts kept in memory" },
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -194,11 +194,24 @@
   runner_.Start(aCall,
                 [this, key = aCall.key, token = aCall.target.token](
                   job::StartResult aResult) {
+                  if (aResult == job::StartResult::Unknown) {
+                    OnStartUnanswered(key);
+                  }
                   supervisor_.OnStartAnswered(
                     key, token, aResult, MonotonicNow());
                 });
 }
 
+void
+JobAgent::OnStartUnanswered(const job::RunKey& aKey)
+{
+  metrics_.Counter("vanillaworks_unanswered_starts_total").Increment();
+  Log::WriteRoutine(Event::StartUnanswered,
+                    { { "job", aKey.job.Value() },
+                      { "task", std::to_string(aKey.task.index) },
+                      { "run", std::to_string(aKey.task.run) } });
+}
+
 void
 JobAgent::CallStop(const job::StopCall& aCall)
 {
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -69,6 +69,8 @@
    * that work need not wait for the runner's next report.
    */
   void LoadStoredRunnerReport();
+  /** Records that it is unknown whether the run has started. */
+  void OnStartUnanswered(const job::RunKey& aKey);
   void OnTick();
   void CheckStop(MonotonicTime aNow);
 
--- a/Tests/StandIns/RunnerStandIn.cpp
+++ b/Tests/StandIns/RunnerStandIn.cpp
@@ -4,6 +4,7 @@
 #include "LibService/LoopHttpClient.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 namespace vanillaworks::standins {
 
@@ -189,6 +190,9 @@
                                 aBody.value("deadlineMs", std::int64_t{ 0 }),
                                 {} },
                               MonotonicNow());
+  if (mode_ == "ending" && result == job::StartResult::Started) {
+    ::_exit(kEndedAtStart);
+  }
   if (mode_ == "losing" && ++losingModeStarts_ % 3 != 0) {
     return;
   }
--- a/Tests/StandIns/RunnerStandIn.h
+++ b/Tests/StandIns/RunnerStandIn.h
@@ -17,6 +17,9 @@
 
 namespace vanillaworks::standins {
 
+/** Exit status of a runner that ended in the mode "ending". */
+inline constexpr int kEndedAtStart = 86;
+
 struct RunnerStandInOptions
 {
   std::string listenAddress;
@@ -40,6 +43,8 @@
  * - "failing" makes all tasks fail.
  * - "draining" reports that the runner is draining.
  * - "losing" starts tasks, but sends a response to every third start only.
+ * - "ending" ends the process as soon as it has started a task, with the exit
+ *   status kEndedAtStart.
  * - "crashing" drops all runs, begins a new incarnation and goes on normally.
  */
 class RunnerStandIn
--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -1,4 +1,5 @@
 #include "Tests/Soak/InvariantChecks.h"
+#include "Tests/StandIns/RunnerStandIn.h"
 #include "Tests/System/PlatformDeployment.h"
 
 #include <algorithm>
@@ -190,6 +191,25 @@
   CHECK(CheckRuns(deployment.RunRecords()).empty());
 }
 
+// The caller was told "not run" of a task that had started on a runner that
+// crashed before it answered the start call.
+TEST_CASE("a runner crashes as it starts a task and no rejection denies it",
+          "[platform-agent]")
+{
+  PlatformOptions options;
+  options.entries = 1;
+  options.workers = 1;
+  PlatformDeployment deployment(options);
+  REQUIRE(deployment.WaitUntilReady());
+  deployment.ControlRunner(0, "ending");
+  auto answer = deployment.Submit(0, PlatformDeployment::JobId(390), 1, 100);
+  INFO(ToText(answer));
+  CHECK(deployment.Runner(0).WaitForExit(5) ==
+        vanillaworks::standins::kEndedAtStart);
+  CHECK(answer.status == 504);
+  CHECK(answer.body.ends_with(R"("mayHaveRun":true})"));
+}
+
 TEST_CASE("agents find a restarted entry although the store has long been down",
           "[platform-agent]")
 {
