Agent: Send a task to its upstream once although the connection is lost

Change: the transfer has a SendTracker. The loss of the connection is a failed task, for which the dispatcher decides whether it may be retried.

Also: LoopbackAddress() has a header of its own, since tests without an event loop need it too.

--- a/Services/Agent/HttpUpstreamClient.cpp
+++ b/Services/Agent/HttpUpstreamClient.cpp
@@ -1,5 +1,7 @@
 #include "Services/Agent/HttpUpstreamClient.h"
 
+#include "LibHttp/SendTracker.h"
+
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
 
@@ -31,6 +33,7 @@
 {
   std::string request;
   std::string reply;
+  http::SendTracker sendTracker{ "POST" };
   curl_slist* headers = nullptr;
   MonotonicTime startedAt;
   std::function<void(TaskOutcome)> done;
@@ -150,6 +153,7 @@
     curl, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->request.size()));
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendToBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &transfer->reply);
+  transfer->sendTracker.Attach(curl);
   transfers_.emplace(curl, std::move(transfer));
   curl_multi_add_handle(multi_, curl);
 }
--- a/Services/Agent/HttpUpstreamClient.h
+++ b/Services/Agent/HttpUpstreamClient.h
@@ -15,7 +15,8 @@
 
 /**
  * Sends tasks to an upstream as "POST /run", with libcurl's multi interface on
- * the event loop. Must be used on the loop's thread only.
+ * the event loop. A task whose connection is lost is not sent again. Must be
+ * used on the loop's thread only.
  */
 class HttpUpstreamClient final : public UpstreamClient
 {
--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -1,5 +1,6 @@
 #include "Services/Agent/JobAgentLinks.h"
 #include "LibJob/RunSupervisorPort.h"
+#include "Tests/LoopbackAddress.h"
 #include "Tests/RunEventBase.h"
 
 #include <catch2/catch.hpp>
--- a/Tests/Entry/JobEntryLinksTest.cpp
+++ b/Tests/Entry/JobEntryLinksTest.cpp
@@ -1,5 +1,6 @@
 #include "Services/Entry/JobEntryLinks.h"
 #include "LibJob/JobDispatcherPort.h"
+#include "Tests/LoopbackAddress.h"
 #include "Tests/RunEventBase.h"
 
 #include <catch2/catch.hpp>
--- a/Tests/LibService/LoopHttpClientTest.cpp
+++ b/Tests/LibService/LoopHttpClientTest.cpp
@@ -1,5 +1,6 @@
 #include "LibService/LoopHttpClient.h"
 #include "Tests/DroppingServer.h"
+#include "Tests/LoopbackAddress.h"
 #include "Tests/RunEventBase.h"
 
 #include <catch2/catch.hpp>
--- a/Tests/LibService/LoopHttpServerTest.cpp
+++ b/Tests/LibService/LoopHttpServerTest.cpp
@@ -1,4 +1,5 @@
 #include "LibService/LoopHttpServer.h"
+#include "Tests/LoopbackAddress.h"
 #include "Tests/RunEventBase.h"
 
 #include <arpa/inet.h>
--- a/Tests/RunEventBase.h
+++ b/Tests/RunEventBase.h
@@ -5,9 +5,7 @@
 
 #include <event2/event.h>
 #include <memory>
-#include <string>
 #include <thread>
-#include <unistd.h>
 
 namespace vanillaworks::tests {
 
@@ -19,19 +17,6 @@
   return { event_base_new(), &event_base_free };
 }
 
-/**
- * Returns "host:port" with a host of the loopback range that depends on this
- * process, so that test programs can run side by side.
- */
-inline std::string
-LoopbackAddress(int aPort)
-{
-  constexpr int kHosts = 250;
-  auto process = static_cast<int>(getpid());
-  return "127." + std::to_string(1 + process / kHosts % kHosts) + "." +
-         std::to_string(1 + process % kHosts) + ".1:" + std::to_string(aPort);
-}
-
 /** Handles the events of aBase as they arrive, for aTime. */
 inline void
 RunFor(event_base* aBase, Milliseconds aTime)
