LibPlatform: Report a transaction as not sent only if nothing was sent

HttpClient took CURLE_COULDNT_CONNECT of libcurl's second try for "not sent" although the first copy had been sent; and where the second copy was answered, its answer (a conflict with the rows of the first copy) stood for the transaction.

Change: a SendTracker, as in the other two clients. Callers get ResponseLost and read again, as they do for any lost response.

--- a/Libraries/LibPlatform/HttpClient.cpp
+++ b/Libraries/LibPlatform/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "LibPlatform/HttpClient.h"
 
+#include "LibHttp/SendTracker.h"
+
 #include <curl/curl.h>
 
 namespace vanillaworks::platform {
@@ -68,7 +70,9 @@
 {
   auto* curl = handle_->curl;
   HttpResponse response;
+  http::SendTracker sendTracker(aMethod);
   curl_easy_reset(curl);
+  sendTracker.Attach(curl);
   curl_easy_setopt(curl, CURLOPT_URL, aUrl.c_str());
   curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, aMethod);
   curl_easy_setopt(curl, CURLOPT_HTTPHEADER, handle_->headers);
@@ -83,7 +87,9 @@
       curl, CURLOPT_POSTFIELDSIZE, static_cast<long>(aBody->size()));
   }
   auto code = curl_easy_perform(curl);
-  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
+  bool isUnreachable =
+    code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+  if (isUnreachable && !sendTracker.MayHaveBeenSent()) {
     return Failure{ TableError::NotSent };
   }
   if (code != CURLE_OK) {
--- a/Libraries/LibPlatform/HttpClient.h
+++ b/Libraries/LibPlatform/HttpClient.h
@@ -17,8 +17,9 @@
 };
 
 /**
- * Blocking HTTP client that reuses one connection (libcurl). Not thread safe:
- * one thread uses an instance. curl_global_init() must have been called.
+ * Blocking HTTP client that reuses one connection (libcurl). A request whose
+ * connection is lost is sent again only if its method is idempotent. Not thread
+ * safe: one thread uses an instance. curl_global_init() must have been called.
  */
 class HttpClient
 {
