--- a/Tests/platform/CodecTest.cpp
+++ b/Tests/platform/CodecTest.cpp
@@ -151,6 +151,21 @@
   CHECK(ParseStartResponse(0, "") == job::StartResult::Unknown);
 }
 
+// Any status that the runner's protocol doesn't name counted as a refusal, so
+// that a job whose task may have started could be rejected as not run.
+TEST_CASE("only the refusals of the protocol prove that a start did nothing")
+{
+  CHECK(ParseStartResponse(400, "") == job::StartResult::Rejected);
+  CHECK(ParseStartResponse(421, "") == job::StartResult::Rejected);
+  CHECK(ParseStartResponse(409, R"({"reason":"room"})") ==
+        job::StartResult::NoRoom);
+  CHECK(ParseStartResponse(503, "") == job::StartResult::Unhealthy);
+  for (long status : { 100, 202, 302, 404, 500, 502, 504 }) {
+    INFO(status);
+    CHECK(ParseStartResponse(status, "") == job::StartResult::Unknown);
+  }
+}
+
 TEST_CASE(
   "operators' rows that can't be read are skipped; the others are decoded")
 {
