LibJob: Don't report a run whose end may be forgotten as never started

Cause: an agent keeps ends for 6 s. An entry that comes back after a longer freeze still awaits runs from before; those that the agent no longer knew were reported as NotRevalidated, which claims that they never started, so that a job with a long deadline could be placed again or rejected as not run.

Change: if the last contact with the entry is older than the ends are kept, an unknown run counts as stopped (it may have run). Ends before that contact have reached the entry.

Tests: "a run whose end may be forgotten is not reported as never started" failed before and passes after; "an order that was lost with its link is reported as never started" holds before and after.

--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -200,6 +200,10 @@
   /** Whether some run of the task is queued or active here. */
   bool HasRunOfTask(const RunKey& aKey) const;
   bool IsRevalidated(const EntryId& aEntry, MonotonicTime aNow) const;
+  /** What became of a run that the entry awaits and that isn't here. */
+  protocol::RunEnd EndOfUnknownRun(const EntryId& aEntry,
+                                   const RunKey& aKey,
+                                   MonotonicTime aNow) const;
   /** Number of runs that occupy resources or may do so: all but queued ones. */
   std::size_t CountOccupyingRuns() const
   {
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -54,18 +54,33 @@
     if (runs_.contains(key)) {
       continue;
     }
-    // An order that never arrived was lost with the old link and can't arrive
-    // any more.
-    auto ended = recentEnds_.find({ aResume.entry, key });
-    auto end =
-      ended != recentEnds_.end()
-        ? ended->second.end
-        : protocol::RunEnd{ key.task, protocol::RunOutcome::NotRevalidated, 0 };
-    reports_[{ aResume.entry, key.job }].push_back(end);
+    reports_[{ aResume.entry, key.job }].push_back(
+      EndOfUnknownRun(aResume.entry, key, aNow));
   }
   FlushReports();
 }
 
+protocol::RunEnd
+RunSupervisor::EndOfUnknownRun(const EntryId& aEntry,
+                               const RunKey& aKey,
+                               MonotonicTime aNow) const
+{
+  auto ended = recentEnds_.find({ aEntry, aKey });
+  if (ended != recentEnds_.end()) {
+    return ended->second.end;
+  }
+  // The entry has handled every end that was sent before the last contact.
+  auto session = sessions_.find(aEntry);
+  bool mayBeForgotten =
+    session == sessions_.end() ||
+    aNow - session->second.revalidatedAt >= limits_.endRetention;
+  if (mayBeForgotten) {
+    return { aKey.task, protocol::RunOutcome::Stopped, 0 };
+  }
+  // The order never arrived; it was lost with the old link.
+  return { aKey.task, protocol::RunOutcome::NotRevalidated, 0 };
+}
+
 void
 RunSupervisor::OnOrder(const EntryId& aEntry,
                        const protocol::RunOrder& aOrder,
--- a/Tests/LibJob/RunSupervisorTest.cpp
+++ b/Tests/LibJob/RunSupervisorTest.cpp
@@ -136,6 +136,42 @@
 
 using protocol::RunOutcome;
 
+// An entry that wakes after a long freeze asks for runs whose ends the agent no
+// longer keeps; they were reported as never started.
+TEST_CASE("a run whose end may be forgotten is not reported as never started")
+{
+  auto outcomeAfter = [](Milliseconds aWithoutContact) {
+    Fixture fixture;
+    fixture.Adopt();
+    fixture.Order(1);
+    fixture.supervisor.OnStartAnswered(
+      fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+    fixture.AdvanceTime(Milliseconds(100));
+    fixture.AnswerHold(
+      fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Done } }));
+    REQUIRE(fixture.ends == std::vector<RunOutcome>{ RunOutcome::Done });
+    fixture.ends.clear();
+    fixture.AdvanceTime(aWithoutContact);
+    fixture.supervisor.OnTick(fixture.now);
+    fixture.supervisor.OnResume(
+      { kEntry, Incarnation(1), { { kJob, { { 0, 1 } }, {} } } }, fixture.now);
+    REQUIRE(fixture.ends.size() == 1);
+    return fixture.ends.front();
+  };
+  CHECK(outcomeAfter(Milliseconds(1000)) == RunOutcome::Done);
+  CHECK_FALSE(protocol::NeverStarted(outcomeAfter(std::chrono::seconds(7))));
+}
+
+TEST_CASE("an order that was lost with its link is reported as never started")
+{
+  Fixture fixture;
+  fixture.Adopt();
+  fixture.AdvanceTime(Milliseconds(900));
+  fixture.supervisor.OnResume(
+    { kEntry, Incarnation(1), { { kJob, { { 0, 1 } }, {} } } }, fixture.now);
+  CHECK(fixture.ends == std::vector<RunOutcome>{ RunOutcome::NotRevalidated });
+}
+
 TEST_CASE("runs that fit are started and the others queued")
 {
   Fixture fixture;
