--- a/Tests/DroppingServer.cpp
+++ b/Tests/DroppingServer.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <catch2/catch.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,6 +10,7 @@
 namespace vanillaworks::tests {
 
 namespace {
+constexpr int kBacklog = 8;
 constexpr int kDroppedRequest = 2;
 constexpr std::string_view kAnswer =
   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
@@ -27,8 +29,11 @@
   int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int enabled = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-  bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  listen(listener, 8);
+  bool isListening =
+    bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
+      0 &&
+    listen(listener, kBacklog) == 0;
+  REQUIRE(isListening);
   return listener;
 }
 
