--- a/Tests/platform/CodecTest.cpp
+++ b/Tests/platform/CodecTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/RunnerCodec.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace vanillaworks;
 using namespace vanillaworks::wire;
@@ -105,6 +106,37 @@
   CHECK_FALSE(isAccepted(R"("s")", "null"));
 }
 
+// A report without a zone, from another writer, replaced the runner's own, and
+// tasks started in a zone that operators had closed.
+TEST_CASE("a runner report that lacks any of its fields is rejected")
+{
+  auto complete =
+    nlohmann::json::parse(R"({"service":"s","address":"a:1","zone":"z",
+    "state":"ready","capacity":{"cpu":16000,"memMb":1,"gpus":0},"labels":[],
+    "clockMs":1,"born":2,"seq":3})");
+  REQUIRE(ParseRunnerReport("r1", complete.dump()));
+  for (const auto* field : { "service",
+                             "address",
+                             "zone",
+                             "state",
+                             "capacity",
+                             "labels",
+                             "clockMs",
+                             "born",
+                             "seq" }) {
+    INFO(field);
+    auto report = complete;
+    report.erase(field);
+    CHECK_FALSE(ParseRunnerReport("r1", report.dump()));
+  }
+  for (const auto* field : { "cpu", "memMb" }) {
+    INFO(field);
+    auto report = complete;
+    report["capacity"].erase(field);
+    CHECK_FALSE(ParseRunnerReport("r1", report.dump()));
+  }
+}
+
 TEST_CASE("a stored report is read back without sequence and clock")
 {
   job::RunnerReport report;
