LibService+platform: Don't reuse a store connection that was idle for long

Cause: the feed's connection timed out after 2.7 s, and the retry took another kept connection that had gone silent too, for 2.7 s more.

The entry's feed waits 1.5 s, not 2 s, so that timeout, pause and retry take 2.5 s at most.

--- a/Libraries/LibService/LoopHttpClient.cpp
+++ b/Libraries/LibService/LoopHttpClient.cpp
@@ -71,8 +71,11 @@
   }
 };
 
-LoopHttpClient::LoopHttpClient(EventLoop& aLoop, long aConnectionsPerHost)
+LoopHttpClient::LoopHttpClient(EventLoop& aLoop,
+                               long aConnectionsPerHost,
+                               std::chrono::seconds aMaxIdle)
   : base_(aLoop.Base())
+  , maxIdle_(aMaxIdle)
   , multi_(curl_multi_init())
   , timer_(event_new(base_, -1, 0, &LoopHttpClientCallbacks::OnTimeout, this))
 {
@@ -143,6 +146,8 @@
   curl_easy_setopt(
     handle, CURLOPT_WRITEFUNCTION, &LoopHttpClientCallbacks::OnBodyData);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer->response.body);
+  curl_easy_setopt(
+    handle, CURLOPT_MAXAGE_CONN, static_cast<long>(maxIdle_.count()));
   transfer->sendTracker.Attach(handle);
   transfers_.emplace(handle, std::move(transfer));
   curl_multi_add_handle(multi_, handle);
--- a/Libraries/LibService/LoopHttpClient.h
+++ b/Libraries/LibService/LoopHttpClient.h
@@ -47,8 +47,16 @@
 {
 public:
   using OnResponse = std::function<void(LoopHttpResponse)>;
+  static constexpr std::chrono::seconds kDefaultMaxIdle{ 118 };
 
-  LoopHttpClient(EventLoop& aLoop, long aConnectionsPerHost);
+  /**
+   * aMaxIdle: a connection that was idle for longer is closed instead of
+   * reused, since it may have become unresponsive meanwhile; in steps of a
+   * second.
+   */
+  LoopHttpClient(EventLoop& aLoop,
+                 long aConnectionsPerHost,
+                 std::chrono::seconds aMaxIdle = kDefaultMaxIdle);
   ~LoopHttpClient();
   LoopHttpClient(const LoopHttpClient&) = delete;
   LoopHttpClient& operator=(const LoopHttpClient&) = delete;
@@ -67,6 +75,7 @@
   CURL* AcquireHandle();
 
   event_base* base_;
+  std::chrono::seconds maxIdle_;
   CURLM* multi_;
   event* timer_;
   std::map<int, event*> sockets_;
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -17,7 +17,7 @@
  * Short, so that a dead connection is detected while a missed change of the
  * configuration still matters.
  */
-constexpr Milliseconds kOperatorFeedTimeout{ 2000 };
+constexpr Milliseconds kOperatorFeedTimeout{ 1500 };
 /**
  * The load balancer needs two failed checks, one second apart, to switch to
  * another entry.
