Tests: Soak with callers that leave early and longer freezes; close inherited sockets

The started process had inherited the caller's socket, so that the caller's close never reached the entry: a fault of the harness. Process now closes inherited descriptors in the child.

--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -23,7 +23,12 @@
 constexpr std::size_t kMaxResidentMegabytes = 128;
 constexpr std::size_t kMaxOpenDescriptors = 512;
 constexpr std::size_t kTasksPerJob = 4;
-constexpr std::uint64_t kCallerCount = 6;
+constexpr std::uint64_t kCallerCount = 8;
+/**
+ * Every second caller leaves after this time, as callers with a short deadline
+ * do, and sends its job to another entry.
+ */
+constexpr Milliseconds kShortTimeout{ 1500 };
 constexpr long kOk = 200;
 constexpr long kUnavailable = 503;
 
@@ -121,10 +126,16 @@
       entry = (entry + 1) % kEntryCount;
     }
     int gracefulStop = gracefulStop_;
-    auto answer =
-      deployment_.SubmitWithRetries(entry, id, kTasksPerJob, taskMilliseconds);
-    if (gracefulStop != 0 && gracefulStop == gracefulStop_ &&
-        answer.wasResponseLost) {
+    bool leavesEarly = aCaller % 2 == 1;
+    auto answer = deployment_.SubmitWithRetries(
+      entry,
+      id,
+      kTasksPerJob,
+      taskMilliseconds,
+      leavesEarly ? kShortTimeout : PlatformDeployment::kCallTimeout);
+    bool wasStoppedGracefully =
+      gracefulStop != 0 && gracefulStop == gracefulStop_;
+    if (wasStoppedGracefully && answer.wasResponseLost && !leavesEarly) {
       ReportViolation("a graceful stop of an entry lost the response to job " +
                       id);
     }
@@ -181,7 +192,7 @@
     return;
   }
   aProcess.Signal(SIGSTOP);
-  SleepRandomly(200, 2500);
+  SleepRandomly(200, 4200);
   aProcess.Signal(SIGCONT);
 }
 
--- a/Tests/System/PlatformDeployment.cpp
+++ b/Tests/System/PlatformDeployment.cpp
@@ -380,13 +380,14 @@
 PlatformDeployment::SubmitWithRetries(std::size_t aEntry,
                                       const std::string& aId,
                                       std::size_t aTaskCount,
-                                      int aTaskMilliseconds) const
+                                      int aTaskMilliseconds,
+                                      Milliseconds aTimeout) const
 {
   CallerAnswer answer;
   for (int i = 0; i < kMaxAttempts; ++i) {
     auto entry = (aEntry + static_cast<std::size_t>(i)) % options_.entries;
     bool wasResponseLost = answer.wasResponseLost;
-    answer = Submit(entry, aId, aTaskCount, aTaskMilliseconds);
+    answer = Submit(entry, aId, aTaskCount, aTaskMilliseconds, aTimeout);
     answer.wasResponseLost |= wasResponseLost;
     answer.attempts = i + 1;
     bool shouldRetry = answer.status == 0 || answer.status == kBadGateway ||
--- a/Tests/System/PlatformDeployment.h
+++ b/Tests/System/PlatformDeployment.h
@@ -110,7 +110,8 @@
   CallerAnswer SubmitWithRetries(std::size_t aEntry,
                                  const std::string& aId,
                                  std::size_t aTaskCount,
-                                 int aTaskMilliseconds) const;
+                                 int aTaskMilliseconds,
+                                 Milliseconds aTimeout = kCallTimeout) const;
   CallerAnswer Get(std::size_t aEntry, const std::string& aPath) const;
   bool IsReady(std::size_t aEntry) const;
 
--- a/Tests/System/Process.cpp
+++ b/Tests/System/Process.cpp
@@ -32,6 +32,10 @@
                                      O_WRONLY | O_CREAT | O_APPEND,
                                      kLogMode);
   }
+  // A child that kept a caller's socket would hide that the caller has closed
+  // it.
+  constexpr int kFirstInherited = 3;
+  posix_spawn_file_actions_addclosefrom_np(&actions, kFirstInherited);
   if (posix_spawn(
         &id_, arguments[0], &actions, nullptr, arguments.data(), environ) !=
       0) {
