--- a/Tests/LibService/IdleConnectionTest.cpp
+++ b/Tests/LibService/IdleConnectionTest.cpp
@@ -17,6 +17,7 @@
 const std::string kRelay = LoopbackAddress(28482);
 const std::string kControl = LoopbackAddress(28483);
 constexpr std::chrono::seconds kMaxIdle{ 1 };
+constexpr Milliseconds kTimeout{ 5000 };
 
 /** Sends several requests at once and returns the status of each. */
 std::vector<long>
@@ -49,9 +50,7 @@
   Relay relay(loop.Base(), kRelay, kTarget, kControl, Microseconds(0));
   REQUIRE(relay.IsListening());
   LoopHttpClient client(loop, 4, kMaxIdle);
-  LoopHttpRequest request{
-    "GET", "http://" + kRelay + "/", {}, {}, Milliseconds(1000)
-  };
+  LoopHttpRequest request{ "GET", "http://" + kRelay + "/", {}, {}, kTimeout };
   CHECK(CallAtOnce(loop, client, request, 3) ==
         std::vector<long>{ 200, 200, 200 });
   LoopHttpClient operatorClient(loop, 1);
@@ -61,7 +60,7 @@
                "http://" + kControl + "/control",
                R"({"mode":"silence"})",
                {},
-               Milliseconds(1000) },
+               kTimeout },
              1);
   // libcurl counts idle time in whole seconds.
   RunFor(loop.Base(), kMaxIdle + Milliseconds(1100));
--- a/Tests/LibService/LoopHttpClientTest.cpp
+++ b/Tests/LibService/LoopHttpClientTest.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 const std::string kAddress = LoopbackAddress(28451);
+constexpr Milliseconds kTimeout{ 5000 };
 
 LoopHttpResponse
 Call(EventLoop& aLoop, LoopHttpClient& aClient, const char* aMethod)
 {
   std::optional<LoopHttpResponse> response;
-  aClient.Call(
-    { aMethod, "http://" + kAddress + "/", "{}", {}, Milliseconds(1000) },
-    [&](LoopHttpResponse aResponse) { response = aResponse; });
+  aClient.Call({ aMethod, "http://" + kAddress + "/", "{}", {}, kTimeout },
+               [&](LoopHttpResponse aResponse) { response = aResponse; });
   while (!response) {
     RunFor(aLoop.Base(), Milliseconds(2));
   }
--- a/Tests/LibService/LoopHttpServerTest.cpp
+++ b/Tests/LibService/LoopHttpServerTest.cpp
@@ -71,7 +71,7 @@
   auto connectedAfter = MonotonicNow();
   Caller caller;
   REQUIRE(caller.IsSent());
-  std::this_thread::sleep_for(Milliseconds(300));
+  std::this_thread::sleep_for(Milliseconds(1000));
   auto readingSince = MonotonicNow();
   RunFor(base.get(), Milliseconds(50));
   CHECK(receivedAt >= connectedAfter - kResolution);
