--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -148,7 +148,7 @@
   constexpr int kTaskMilliseconds = 900;
   PlatformDeployment deployment({});
   REQUIRE(deployment.WaitUntilReady());
-  auto pausedAt = std::chrono::steady_clock::now();
+  auto pausedAt = vanillaworks::MonotonicNow();
   deployment.Entry(0).Signal(SIGSTOP);
   std::this_thread::sleep_for(1000ms);
   std::vector<std::future<CallerAnswer>> calls;
