Tests: Parse socket addresses once and share the lost transaction's checks

Found in the last reading: two tests parsed "host:port" by hand, and the two cases of HttpClientTest.cpp repeated the same steps. ToSocketAddress() and a shared check take their place; every assertion stays, and the address is checked nowhere less.

No product code is touched.

--- a/Tests/DroppingServer.cpp
+++ b/Tests/DroppingServer.cpp
@@ -1,9 +1,9 @@
 #include "Tests/DroppingServer.h"
 
-#include <arpa/inet.h>
+#include "Tests/LoopbackAddress.h"
+
 #include <array>
 #include <catch2/catch.hpp>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,12 +20,7 @@
 int
 Listen(const std::string& aAddress)
 {
-  auto colon = aAddress.rfind(':');
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port =
-    htons(static_cast<std::uint16_t>(std::stoi(aAddress.substr(colon + 1))));
-  inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
+  auto address = ToSocketAddress(aAddress);
   int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int enabled = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
--- a/Tests/LibPlatform/HttpClientTest.cpp
+++ b/Tests/LibPlatform/HttpClientTest.cpp
@@ -12,6 +12,18 @@
 const std::string kAddress = LoopbackAddress(28471);
 const std::string kUrl = "http://" + kAddress + "/";
 constexpr Milliseconds kTimeout{ 5000 };
+
+/** The server drops the connection once it has read the second transaction. */
+void
+CheckThatSecondTransactionIsLost(HttpClient& aClient,
+                                 const DroppingServer& aServer)
+{
+  REQUIRE_FALSE(aClient.Post(kUrl, "{}").IsError());
+  auto lost = aClient.Post(kUrl, "{}");
+  REQUIRE(lost.IsError());
+  CHECK(lost.Error() == TableError::ResponseLost);
+  CHECK(aServer.Requests() == 2);
+}
 }
 
 // A transaction that had been sent counted as not sent, because libcurl's
@@ -21,11 +33,7 @@
 {
   DroppingServer server(kAddress, AfterDrop::Refuse);
   HttpClient client(kTimeout);
-  REQUIRE_FALSE(client.Post(kUrl, "{}").IsError());
-  auto lost = client.Post(kUrl, "{}");
-  REQUIRE(lost.IsError());
-  CHECK(lost.Error() == TableError::ResponseLost);
-  CHECK(server.Requests() == 2);
+  CheckThatSecondTransactionIsLost(client, server);
   auto refused = client.Post(kUrl, "{}");
   REQUIRE(refused.IsError());
   CHECK(refused.Error() == TableError::NotSent);
@@ -37,9 +45,5 @@
 {
   DroppingServer server(kAddress, AfterDrop::Accept);
   HttpClient client(kTimeout);
-  REQUIRE_FALSE(client.Post(kUrl, "{}").IsError());
-  auto lost = client.Post(kUrl, "{}");
-  REQUIRE(lost.IsError());
-  CHECK(lost.Error() == TableError::ResponseLost);
-  CHECK(server.Requests() == 2);
+  CheckThatSecondTransactionIsLost(client, server);
 }
--- a/Tests/LibService/LoopHttpServerTest.cpp
+++ b/Tests/LibService/LoopHttpServerTest.cpp
@@ -2,9 +2,7 @@
 #include "Tests/LoopbackAddress.h"
 #include "Tests/RunEventBase.h"
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 using namespace vanillaworks;
@@ -12,8 +10,7 @@
 using namespace vanillaworks::tests;
 
 namespace {
-constexpr int kPort = 28441;
-const std::string kAddress = LoopbackAddress(kPort);
+const std::string kAddress = LoopbackAddress(28441);
 
 /** A connection that has sent one request; closes at the end of its scope. */
 class Caller
@@ -22,11 +19,7 @@
   Caller()
     : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
-    auto host = kAddress.substr(0, kAddress.find(':'));
-    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    auto address = ToSocketAddress(kAddress);
     constexpr std::string_view kRequest =
       "POST /job HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
     isSent_ = connect(socket_,
