LibJob+Services: Log how a run's end is known, and when a lost agent's task is given up

E706 and E704 said 'stopped' for a run that was stopped on request, that lapsed, that was lost with its runner and that was given up without a word from the runner; nothing said why and when a stop was asked for; an entry that placed a lost agent's task again logged nothing.

E706 of runs that weren't done now has evidence, stop_reason, since_stop_ms and since_contact_ms; E709 and vanillaworks_tasks_released_total at the entry; vanillaworks_lost_runs_total by evidence at the agent. Lines of done runs are as they were, since each costs processor time. No decision changes: the stop's reason takes the place of the flag and the outcome that were kept of it.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -41,6 +41,7 @@
   X(704, TaskEnded, "an agent reported the outcome of a run")                  \
   X(706, RunEnded, "a run ended at the runner")                                \
   X(707, CallerGone, "a caller disconnected before its response was sent")     \
-  X(708, StartUnanswered, "a start call got no answer: the task may have run")
+  X(708, StartUnanswered, "a start call got no answer: the task may have run") \
+  X(709, TaskReleased, "a run of a lost agent counts as over")
 
 #endif
--- a/Libraries/LibJob/Job.h
+++ b/Libraries/LibJob/Job.h
@@ -34,6 +34,8 @@
   /** When the latest order was placed. */
   MonotonicTime placedAt;
   Milliseconds expected{ 0 };
+  /** When the agent was lost. */
+  MonotonicTime lostAt;
   MonotonicTime unknownUntil;
   /** Workers on which the task failed, got stuck or was refused. */
   std::set<UpstreamId> avoidedWorkers;
--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -246,6 +246,7 @@
       auto& lost = job.tasks[task.index];
       if (lost.state == TaskState::Ordered) {
         lost.state = TaskState::Unknown;
+        lost.lostAt = aNow;
         lost.unknownUntil = aNow + limits_.lostAgentTimeout;
       }
     }
@@ -404,11 +405,19 @@
 void
 JobDispatcher::ExpireUnknown(Job& aJob, MonotonicTime aNow)
 {
-  for (auto& task : aJob.tasks) {
-    if (task.state == TaskState::Unknown && aNow >= task.unknownUntil) {
-      ReleaseTask(aJob, task);
-      aJob.hasStarted = true;
+  for (std::uint32_t i = 0; i < aJob.tasks.size(); ++i) {
+    auto& task = aJob.tasks[i];
+    if (task.state != TaskState::Unknown || aNow < task.unknownUntil) {
+      continue;
     }
+    auto sinceLoss = aNow - task.lostAt;
+    port_.OnReleased({ aJob.request.id,
+                       i,
+                       task.run,
+                       task.upstream,
+                       std::chrono::duration_cast<Milliseconds>(sinceLoss) });
+    ReleaseTask(aJob, task);
+    aJob.hasStarted = true;
   }
 }
 
--- a/Libraries/LibJob/JobDispatcherPort.h
+++ b/Libraries/LibJob/JobDispatcherPort.h
@@ -33,6 +33,7 @@
   /** For logs and metrics only. */
   virtual void OnPlaced(const TaskPlaced& aEvent) = 0;
   virtual void OnEnded(const TaskEnded& aEvent) = 0;
+  virtual void OnReleased(const TaskReleased& aEvent) = 0;
 };
 
 }
--- a/Libraries/LibJob/JobEvent.h
+++ b/Libraries/LibJob/JobEvent.h
@@ -39,6 +39,20 @@
   Milliseconds expected;
 };
 
+/**
+ * A run whose agent was lost counts as over, because the time after which it
+ * can't be active has passed; its task may be placed again.
+ */
+struct TaskReleased
+{
+  SubmissionId job;
+  std::uint32_t task;
+  std::uint32_t run;
+  UpstreamId upstream;
+  /** Since the agent was lost. */
+  Milliseconds sinceLoss;
+};
+
 }
 
 #endif
--- a/Libraries/LibJob/Run.h
+++ b/Libraries/LibJob/Run.h
@@ -4,6 +4,7 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
 #include "LibJob/Resources.h"
+#include "LibJob/RunEvent.h"
 #include "LibJob/RunnerCalls.h"
 #include "LibProtocol/RunOutcome.h"
 
@@ -47,9 +48,9 @@
   MonotonicTime startedAt;
   int percent = 0;
   MonotonicTime progressAt;
-  /** The run is being stopped; stopOutcome is reported once it has. */
-  bool isStopping = false;
-  protocol::RunOutcome stopOutcome = protocol::RunOutcome::Stopped;
+  /** Why the run is being stopped, if it is, and since when. */
+  StopReason stopReason = StopReason::None;
+  MonotonicTime stopDecidedAt;
   /** The answer to a stop call is pending. */
   bool isStopPending = false;
   /** When the runner accepted the stop; default value before that. */
@@ -57,6 +58,13 @@
 
   /** Whether the run occupies resources at the runner or may do so. */
   bool OccupiesResources() const { return phase != RunPhase::Queued; }
+  bool IsStopping() const { return stopReason != StopReason::None; }
+  /** The outcome if the run ends before it is done. */
+  protocol::RunOutcome StopOutcome() const
+  {
+    return stopReason == StopReason::Stuck ? protocol::RunOutcome::Stuck
+                                           : protocol::RunOutcome::Stopped;
+  }
 };
 
 }
--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -142,7 +142,7 @@
   // A start call to the earlier incarnation may have reached this one. The
   // higher token fences off further ones.
   auto arrived = KeysOf(aAnswer);
-  EndRunsExcept(arrived, aNow);
+  EndRunsExcept(arrived, EndEvidence::RunnerLost, aNow);
   for (const auto& key : arrived) {
     auto found = runs_.find(key);
     if (found != runs_.end()) {
@@ -169,7 +169,9 @@
 }
 
 void
-RunSupervisor::EndRunsExcept(const std::set<RunKey>& aKept, MonotonicTime aNow)
+RunSupervisor::EndRunsExcept(const std::set<RunKey>& aKept,
+                             EndEvidence aEvidence,
+                             MonotonicTime aNow)
 {
   std::vector<RunKey> lost;
   for (const auto& [key, run] : runs_) {
@@ -178,7 +180,7 @@
     }
   }
   for (const auto& key : lost) {
-    End(key, protocol::RunOutcome::Stopped, aNow);
+    End(key, protocol::RunOutcome::Stopped, aEvidence, aNow);
   }
 }
 
@@ -218,7 +220,7 @@
   if (!runner_ || runner_->report.id != aRunner) {
     return;
   }
-  EndRunsExcept({}, aNow);
+  EndRunsExcept({}, EndEvidence::RunnerLost, aNow);
   runner_.reset();
   pendingHolds_.clear();
   foreignRuns_.clear();
@@ -236,6 +238,7 @@
 void
 RunSupervisor::End(const RunKey& aKey,
                    protocol::RunOutcome aOutcome,
+                   EndEvidence aEvidence,
                    MonotonicTime aNow)
 {
   auto found = runs_.find(aKey);
@@ -258,10 +261,36 @@
   }
   recentEnds_[{ run.entry, run.key }] = { end, aNow + limits_.endRetention };
   reports_[{ run.entry, run.key.job }].push_back(end);
-  port_.OnRunEnded(run.entry, run.key.job, end);
+  NotifyEnded(run, end, aEvidence, aNow);
   ++statusRevision_;
 }
 
+void
+RunSupervisor::NotifyEnded(const Run& aRun,
+                           const protocol::RunEnd& aEnd,
+                           EndEvidence aEvidence,
+                           MonotonicTime aNow)
+{
+  Milliseconds sinceStop{ 0 };
+  if (aRun.IsStopping()) {
+    sinceStop =
+      std::chrono::duration_cast<Milliseconds>(aNow - aRun.stopDecidedAt);
+  }
+  Milliseconds sinceContact{ 0 };
+  auto session = sessions_.find(aRun.entry);
+  if (session != sessions_.end()) {
+    sinceContact = std::chrono::duration_cast<Milliseconds>(
+      aNow - session->second.revalidatedAt);
+  }
+  port_.OnRunEnded({ aRun.entry,
+                     aRun.key.job,
+                     aEnd,
+                     aEvidence,
+                     aRun.stopReason,
+                     sinceStop,
+                     sinceContact });
+}
+
 void
 RunSupervisor::FlushReports()
 {
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -167,7 +167,9 @@
   /**
    * Ends all started runs except aKept; the others can't be active any more.
    */
-  void EndRunsExcept(const std::set<RunKey>& aKept, MonotonicTime aNow);
+  void EndRunsExcept(const std::set<RunKey>& aKept,
+                     EndEvidence aEvidence,
+                     MonotonicTime aNow);
   /**
    * A runner that doesn't report its start time counts as the same incarnation.
    */
@@ -226,13 +228,25 @@
    */
   void ReturnUnstarted(const protocol::RunOrder& aOrder, MonotonicTime aNow);
   void ReturnQueue(protocol::RunOutcome aWhy, MonotonicTime aNow);
-  void Stop(Run& aRun, protocol::RunOutcome aOutcome, MonotonicTime aNow);
+  void Stop(Run& aRun, StopReason aReason, MonotonicTime aNow);
   void CallStop(Run& aRun);
   /** Stops a run that this process did not start. */
   void CallForeignStop(const RunKey& aKey);
   void End(const RunKey& aKey,
            protocol::RunOutcome aOutcome,
+           EndEvidence aEvidence,
            MonotonicTime aNow);
+  /** Ends a run that was never called at the runner. */
+  void EndUnstarted(const RunKey& aKey,
+                    protocol::RunOutcome aOutcome,
+                    MonotonicTime aNow)
+  {
+    End(aKey, aOutcome, EndEvidence::NotCalled, aNow);
+  }
+  void NotifyEnded(const Run& aRun,
+                   const protocol::RunEnd& aEnd,
+                   EndEvidence aEvidence,
+                   MonotonicTime aNow);
   void FlushReports();
   /** Expected time until a queued run starts, by the runs ahead of it. */
   Milliseconds EstimateStartDelay(const Run& aQueued, MonotonicTime aNow) const;
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -60,7 +60,7 @@
     !runner_->isReconciled || !runner_->isReachable ||
     std::any_of(runs_.begin(), runs_.end(), [](const auto& aItem) {
       return aItem.second.phase == RunPhase::Uncertain ||
-             aItem.second.isStopping;
+             aItem.second.IsStopping();
     });
   bool hasRuns = CountOccupyingRuns() > 0;
   HoldCall call;
@@ -168,18 +168,22 @@
     if (found == runs_.end() || !found->second.OccupiesResources()) {
       continue;
     }
-    auto stopOutcome = found->second.isStopping ? found->second.stopOutcome
-                                                : protocol::RunOutcome::Stopped;
+    auto stopOutcome = found->second.StopOutcome();
     switch (row.kind) {
       case EndKind::Done:
-        End(row.key, protocol::RunOutcome::Done, aNow);
+        End(row.key, protocol::RunOutcome::Done, EndEvidence::ListedDone, aNow);
         break;
       case EndKind::Failed:
-        End(row.key, protocol::RunOutcome::Failed, aNow);
+        End(row.key,
+            protocol::RunOutcome::Failed,
+            EndEvidence::ListedFailed,
+            aNow);
         break;
       case EndKind::Stopped:
+        End(row.key, stopOutcome, EndEvidence::ListedStopped, aNow);
+        break;
       case EndKind::Lapsed:
-        End(row.key, stopOutcome, aNow);
+        End(row.key, stopOutcome, EndEvidence::ListedLapsed, aNow);
         break;
     }
   }
@@ -231,7 +235,7 @@
     }
   }
   for (const auto& [key, outcome] : ended) {
-    End(key, outcome, aNow);
+    End(key, outcome, EndEvidence::NotListed, aNow);
   }
 }
 
@@ -258,10 +262,10 @@
   auto stuckTimeout = std::max(limits_.stuckTimeout, aRun.estimate / 4);
   bool isStuck =
     withoutProgress > stuckTimeout && aNow - aRun.calledAt > stuckTimeout;
-  if (isStuck && !aRun.isStopping) {
+  if (isStuck && !aRun.IsStopping()) {
     health_.OnStuck(aRun.key.job, aNow);
     ++statusRevision_;
-    Stop(aRun, protocol::RunOutcome::Stuck, aNow);
+    Stop(aRun, StopReason::Stuck, aNow);
   }
 }
 
--- a/Libraries/LibJob/RunSupervisorPort.h
+++ b/Libraries/LibJob/RunSupervisorPort.h
@@ -2,6 +2,7 @@
 #define Libraries_LibJob_RunSupervisorPort_h
 
 #include "LibCore/Ids.h"
+#include "LibJob/RunEvent.h"
 #include "LibJob/RunnerCalls.h"
 #include "LibJob/RunnerReport.h"
 #include "LibProtocol/Message.h"
@@ -25,9 +26,7 @@
   virtual void SendToEntry(const EntryId& aEntry,
                            protocol::Message aMessage) = 0;
   /** For logs and metrics only. */
-  virtual void OnRunEnded(const EntryId& aEntry,
-                          const SubmissionId& aJob,
-                          const protocol::RunEnd& aEnd) = 0;
+  virtual void OnRunEnded(const RunEnded& aEvent) = 0;
   /** Saves the report for later processes of the agent; best effort. */
   virtual void SaveReport(const RunnerReport& aReport) = 0;
   /** For logs only: this incarnation of the runner is served from now on. */
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -48,7 +48,7 @@
     }
   }
   for (const auto& key : notAwaited) {
-    Stop(runs_.at(key), protocol::RunOutcome::Stopped, aNow);
+    Stop(runs_.at(key), StopReason::NotAwaited, aNow);
   }
   for (const auto& key : awaited) {
     if (runs_.contains(key)) {
@@ -111,7 +111,7 @@
     queue_.insert({ run.priority, run.arrival, key });
     runs_.emplace(key, std::move(run));
     if (isFull) {
-      End(key, protocol::RunOutcome::NoRoom, aNow);
+      EndUnstarted(key, protocol::RunOutcome::NoRoom, aNow);
     }
   }
   ++statusRevision_;
@@ -134,7 +134,7 @@
     bool mayQueue = aOrder.startWithinMs > 0 &&
                     EstimateStartDelay(found->second, aNow) <= maxDelay;
     if (!mayQueue) {
-      End(RunKey(found->first), protocol::RunOutcome::NoRoom, aNow);
+      EndUnstarted(RunKey(found->first), protocol::RunOutcome::NoRoom, aNow);
     }
   }
 }
@@ -165,7 +165,7 @@
         { task, protocol::RunOutcome::StillRunning, 0 });
       continue;
     }
-    Stop(found->second, protocol::RunOutcome::Stopped, aNow);
+    Stop(found->second, StopReason::Cancelled, aNow);
   }
   StartQueuedRuns(aNow);
   FlushReports();
@@ -215,11 +215,11 @@
   for (const auto& item : waiting) {
     auto& run = runs_.at(std::get<RunKey>(item));
     if (!IsRevalidated(run.entry, aNow)) {
-      End(RunKey(run.key), protocol::RunOutcome::NotRevalidated, aNow);
+      EndUnstarted(RunKey(run.key), protocol::RunOutcome::NotRevalidated, aNow);
       continue;
     }
     if (run.startBy < aNow) {
-      End(RunKey(run.key), protocol::RunOutcome::Expired, aNow);
+      EndUnstarted(RunKey(run.key), protocol::RunOutcome::Expired, aNow);
       continue;
     }
     if (!free.Fits(run.demand) || (isSuspect && taken > 0)) {
@@ -246,7 +246,7 @@
 {
   auto waiting = queue_;
   for (const auto& item : waiting) {
-    End(std::get<RunKey>(item), aWhy, aNow);
+    EndUnstarted(std::get<RunKey>(item), aWhy, aNow);
   }
 }
 
@@ -259,7 +259,7 @@
   if (hasLeaseExpired && CountOccupyingRuns() > 0) {
     // The runner has not answered for so long that all leases there have
     // expired. The higher token fences off delayed start calls.
-    EndRunsExcept({}, aNow);
+    EndRunsExcept({}, EndEvidence::LeaseExpired, aNow);
     RaiseToken(1);
     ++statusRevision_;
   }
@@ -267,12 +267,12 @@
   for (auto& [key, run] : runs_) {
     if (!IsRevalidated(run.entry, aNow)) {
       notRevalidated.push_back(key);
-    } else if (run.isStopping && runner_ && runner_->isReachable) {
+    } else if (run.IsStopping() && runner_ && runner_->isReachable) {
       CallStop(run);
     }
   }
   for (const auto& key : notRevalidated) {
-    Stop(runs_.at(key), protocol::RunOutcome::Stopped, aNow);
+    Stop(runs_.at(key), StopReason::EntryLost, aNow);
   }
   StartQueuedRuns(aNow);
   CallHoldIfNeeded(aNow);
--- a/Libraries/LibJob/RunSupervisorStarts.cpp
+++ b/Libraries/LibJob/RunSupervisorStarts.cpp
@@ -63,7 +63,7 @@
 RunSupervisor::OnStartUnanswered(Run& aRun, MonotonicTime aNow)
 {
   OnNoAnswer(aNow);
-  bool mayRetry = aRun.phase == RunPhase::Starting && !aRun.isStopping &&
+  bool mayRetry = aRun.phase == RunPhase::Starting && !aRun.IsStopping() &&
                   aRun.startAttempts < kMaxStartAttempts && MayStart() &&
                   IsRevalidated(aRun.entry, aNow);
   if (mayRetry) {
@@ -73,7 +73,7 @@
     return;
   }
   aRun.phase = RunPhase::Uncertain;
-  Stop(aRun, protocol::RunOutcome::Stopped, aNow);
+  Stop(aRun, StopReason::StartUnconfirmed, aNow);
 }
 
 void
@@ -110,10 +110,10 @@
     // This call started nothing, but an earlier one may have started the run or
     // may still start it.
     aRun.phase = RunPhase::Uncertain;
-    Stop(aRun, RunOutcome::Stopped, aNow);
+    Stop(aRun, StopReason::StartUnconfirmed, aNow);
     return;
   }
-  End(RunKey(aRun.key), outcome, aNow);
+  End(RunKey(aRun.key), outcome, EndEvidence::StartRefused, aNow);
 }
 
 void
@@ -151,17 +151,15 @@
 }
 
 void
-RunSupervisor::Stop(Run& aRun,
-                    protocol::RunOutcome aOutcome,
-                    MonotonicTime aNow)
+RunSupervisor::Stop(Run& aRun, StopReason aReason, MonotonicTime aNow)
 {
   if (aRun.phase == RunPhase::Queued) {
-    End(RunKey(aRun.key), protocol::RunOutcome::Cancelled, aNow);
+    EndUnstarted(RunKey(aRun.key), protocol::RunOutcome::Cancelled, aNow);
     return;
   }
-  if (!aRun.isStopping) {
-    aRun.isStopping = true;
-    aRun.stopOutcome = aOutcome;
+  if (!aRun.IsStopping()) {
+    aRun.stopReason = aReason;
+    aRun.stopDecidedAt = aNow;
   }
   CallStop(aRun);
 }
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -238,22 +238,40 @@
 }
 
 void
-JobAgent::OnRunEnded(const EntryId& aEntry,
-                     const SubmissionId& aJob,
-                     const protocol::RunEnd& aEnd)
+JobAgent::OnRunEnded(const job::RunEnded& aEvent)
 {
-  auto outcome = std::string(RunOutcomeName(aEnd.outcome));
-  if (aEnd.outcome != protocol::RunOutcome::Done) {
-    metrics_.Counter("vanillaworks_refusals_total", "reason", outcome)
-      .Increment();
+  const auto& end = aEvent.end;
+  auto outcome = std::string(RunOutcomeName(end.outcome));
+  auto task = std::to_string(end.task.index);
+  auto run = std::to_string(end.task.run);
+  auto elapsed = std::to_string(end.elapsedMs);
+  if (end.outcome == protocol::RunOutcome::Done) {
+    Log::WriteRoutine(Event::RunEnded,
+                      { { "job", aEvent.job.Value() },
+                        { "task", task },
+                        { "run", run },
+                        { "entry", aEvent.entry.Value() },
+                        { "outcome", outcome },
+                        { "elapsed_ms", elapsed } });
+    return;
   }
-  Log::WriteRoutine(Event::RunEnded,
-                    { { "job", aJob.Value() },
-                      { "task", std::to_string(aEnd.task.index) },
-                      { "run", std::to_string(aEnd.task.run) },
-                      { "entry", aEntry.Value() },
-                      { "outcome", outcome },
-                      { "elapsed_ms", std::to_string(aEnd.elapsedMs) } });
+  metrics_.Counter("vanillaworks_refusals_total", "reason", outcome)
+    .Increment();
+  auto evidence = std::string(EndEvidenceName(aEvent.evidence));
+  metrics_.Counter("vanillaworks_lost_runs_total", "evidence", evidence)
+    .Increment();
+  Log::WriteRoutine(
+    Event::RunEnded,
+    { { "job", aEvent.job.Value() },
+      { "task", task },
+      { "run", run },
+      { "entry", aEvent.entry.Value() },
+      { "outcome", outcome },
+      { "elapsed_ms", elapsed },
+      { "evidence", evidence },
+      { "stop_reason", std::string(StopReasonName(aEvent.stopReason)) },
+      { "since_stop_ms", std::to_string(aEvent.sinceStop.count()) },
+      { "since_contact_ms", std::to_string(aEvent.sinceContact.count()) } });
 }
 
 void
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -50,9 +50,7 @@
   void CallStop(const job::StopCall& aCall) override;
   void CallHold(std::uint64_t aNumber, const job::HoldCall& aCall) override;
   void SendToEntry(const EntryId& aEntry, protocol::Message aMessage) override;
-  void OnRunEnded(const EntryId& aEntry,
-                  const SubmissionId& aJob,
-                  const protocol::RunEnd& aEnd) override;
+  void OnRunEnded(const job::RunEnded& aEvent) override;
   void SaveReport(const job::RunnerReport& aReport) override;
   void OnRunnerAdopted(const job::RunnerReport& aReport,
                        std::uint64_t aToken) override;
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -65,6 +65,10 @@
   {
     observer_.OnEnded(aEvent);
   }
+  void OnReleased(const job::TaskReleased& aEvent) override
+  {
+    observer_.OnReleased(aEvent);
+  }
 
 private:
   using Exchange = std::shared_ptr<service::LoopHttpExchange>;
--- a/Services/Entry/JobObserver.cpp
+++ b/Services/Entry/JobObserver.cpp
@@ -138,6 +138,18 @@
                       { "since_placed_ms", ToText(aEvent.sincePlaced) } });
 }
 
+void
+JobObserver::OnReleased(const job::TaskReleased& aEvent)
+{
+  metrics_.Counter("vanillaworks_tasks_released_total").Increment();
+  Log::Write(Event::TaskReleased,
+             { { "job", aEvent.job.Value() },
+               { "task", ToText(std::int64_t{ aEvent.task }) },
+               { "run", ToText(std::int64_t{ aEvent.run }) },
+               { "upstream", aEvent.upstream.Value() },
+               { "since_loss_ms", ToText(aEvent.sinceLoss) } });
+}
+
 void
 JobObserver::OnCallerGone(const SubmissionId& aJob, Milliseconds aWaited)
 {
--- a/Services/Entry/JobObserver.h
+++ b/Services/Entry/JobObserver.h
@@ -40,6 +40,7 @@
                   Milliseconds aElapsed);
   void OnPlaced(const job::TaskPlaced& aEvent);
   void OnEnded(const job::TaskEnded& aEvent);
+  void OnReleased(const job::TaskReleased& aEvent);
   /** aWaited: time since the job's request arrived. */
   void OnCallerGone(const SubmissionId& aJob, Milliseconds aWaited);
   /**
--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -18,11 +18,7 @@
   void CallStop(const job::StopCall&) override {}
   void CallHold(std::uint64_t, const job::HoldCall&) override {}
   void SendToEntry(const EntryId&, protocol::Message) override {}
-  void OnRunEnded(const EntryId&,
-                  const SubmissionId&,
-                  const protocol::RunEnd&) override
-  {
-  }
+  void OnRunEnded(const job::RunEnded&) override {}
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
 };
--- a/Tests/Entry/JobEntryLinksTest.cpp
+++ b/Tests/Entry/JobEntryLinksTest.cpp
@@ -22,6 +22,7 @@
   void ScheduleWake() override {}
   void OnPlaced(const job::TaskPlaced&) override {}
   void OnEnded(const job::TaskEnded&) override {}
+  void OnReleased(const job::TaskReleased&) override {}
 };
 
 /** The agent's end of a link; sends what a test tells it to. */
--- a/Tests/LibJob/JobDispatcherTest.cpp
+++ b/Tests/LibJob/JobDispatcherTest.cpp
@@ -37,9 +37,14 @@
   void ScheduleWake() override {}
   void OnPlaced(const TaskPlaced&) override {}
   void OnEnded(const TaskEnded&) override {}
+  void OnReleased(const TaskReleased& aEvent) override
+  {
+    released.push_back(aEvent);
+  }
 
   std::set<WaiterId> disconnected;
   std::vector<protocol::RunOrder> orders;
+  std::vector<TaskReleased> released;
   std::vector<std::pair<WaiterId, JobAnswer>> answers;
 };
 
@@ -157,3 +162,18 @@
   REQUIRE(fixture.port.answers.size() == 1);
   CHECK(fixture.port.answers.front().second.state == JobState::Completed);
 }
+
+TEST_CASE("an entry tells that it gives up on a run of a lost agent")
+{
+  Fixture fixture;
+  auto request = Fixture::Request(kNow);
+  request.deadline = kNow + std::chrono::seconds(10);
+  fixture.dispatcher.Submit(request, kFirstWaiter, kNow);
+  fixture.dispatcher.OnAgentDown(kUpstream, kNow + kWork);
+  fixture.dispatcher.OnTick(kNow + Milliseconds(500));
+  CHECK(fixture.port.released.empty());
+  fixture.dispatcher.OnTick(kNow + kWork + Milliseconds(1400));
+  REQUIRE(fixture.port.released.size() == 1);
+  CHECK(fixture.port.released[0].upstream == kUpstream);
+  CHECK(fixture.port.released[0].sinceLoss == Milliseconds(1400));
+}
--- /dev/null
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -0,0 +1,76 @@
+#include "Tests/LibJob/RunSupervisorFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace vanillaworks;
+using namespace vanillaworks::job;
+using namespace vanillaworks::tests;
+
+namespace {
+using Fixture = RunSupervisorFixture;
+
+/** A supervisor with one confirmed run. */
+struct ActiveRun : Fixture
+{
+  ActiveRun()
+  {
+    Adopt();
+    Order(1);
+    supervisor.OnStartAnswered(Key(0), token, StartResult::Started, now);
+    AdvanceTime(Milliseconds(30));
+  }
+};
+
+void
+CancelRun(ActiveRun& aRun)
+{
+  aRun.supervisor.OnCancel(
+    kEntry, { kJob, { { 0, 1 } }, protocol::CancelScope::All }, aRun.now);
+}
+}
+
+TEST_CASE("the end of a run tells a stop on request from a lapse and a crash")
+{
+  ActiveRun run;
+  SECTION("stopped on request")
+  {
+    CancelRun(run);
+    run.AdvanceTime(Milliseconds(20));
+    run.AnswerHold(run.Answer({}, { { 1, run.Key(0), EndKind::Stopped } }));
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].evidence == EndEvidence::ListedStopped);
+    CHECK(run.events[0].stopReason == StopReason::Cancelled);
+    CHECK(run.events[0].sinceStop == Milliseconds(20));
+    CHECK(run.events[0].sinceContact == Milliseconds(50));
+  }
+  SECTION("lapsed")
+  {
+    run.AnswerHold(run.Answer({}, { { 1, run.Key(0), EndKind::Lapsed } }));
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].evidence == EndEvidence::ListedLapsed);
+    CHECK(run.events[0].stopReason == StopReason::None);
+  }
+  SECTION("lost with its runner")
+  {
+    run.supervisor.OnRunnerLeft("r1", run.now);
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].evidence == EndEvidence::RunnerLost);
+  }
+  SECTION("not listed any more")
+  {
+    run.AnswerHold(run.Answer());
+    run.AdvanceTime(Milliseconds(60));
+    run.supervisor.OnTick(run.now);
+    run.AnswerHold(run.Answer());
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].evidence == EndEvidence::NotListed);
+  }
+  SECTION("the runner is silent until the lease is over")
+  {
+    run.AdvanceTime(RunSupervisorLimits{}.lease * 2);
+    run.supervisor.OnRevalidated(kEntry, run.now);
+    run.supervisor.OnTick(run.now);
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].evidence == EndEvidence::LeaseExpired);
+  }
+}
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -62,6 +62,7 @@
   }
   void OnPlaced(const job::TaskPlaced&) override {}
   void OnEnded(const job::TaskEnded&) override {}
+  void OnReleased(const job::TaskReleased&) override {}
 
   SimulatedJobCluster& cluster;
   int index;
@@ -169,11 +170,7 @@
     cluster.ToEntry(index, entry, supervisor->Status(aEntry, cluster.now_));
     cluster.ToEntry(index, entry, std::move(aMessage));
   }
-  void OnRunEnded(const EntryId&,
-                  const SubmissionId&,
-                  const protocol::RunEnd&) override
-  {
-  }
+  void OnRunEnded(const job::RunEnded&) override {}
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
 
