Tests: A frozen agent's runs outlive their entry's loss

RunLeaseTest.cpp plays the lease alone, to the millisecond: after the loss of the entry, with another entry's runs beside, after a cancel whose stop gets no answer, and after a restart of the entry.

--- a/Tests/LibJob/FakeRunner.cpp
+++ b/Tests/LibJob/FakeRunner.cpp
@@ -23,8 +23,8 @@
 std::int64_t
 FakeRunner::ClockMs(MonotonicTime aNow) const
 {
-  return std::chrono::duration_cast<Milliseconds>(aNow - startedAt_).count() +
-         1;
+  auto elapsed = (aNow - startedAt_) * clockRate_;
+  return std::chrono::duration_cast<Milliseconds>(elapsed).count() + 1;
 }
 
 bool
--- a/Tests/LibJob/FakeRunner.h
+++ b/Tests/LibJob/FakeRunner.h
@@ -52,6 +52,8 @@
   job::RunnerReport Report(MonotonicTime aNow);
   void SetState(job::RunnerState aState) { report_.state = aState; }
   void SetSlowness(double aSlowness) { slowness_ = aSlowness; }
+  /** aRate: the runner's clock relative to true time; 0.98 is 2% slow. */
+  void SetClockRate(double aRate) { clockRate_ = aRate; }
 
   const job::Resources& Used() const { return used_; }
   const job::Resources& Capacity() const { return report_.capacity; }
@@ -72,6 +74,7 @@
 
   job::RunnerReport report_;
   double slowness_;
+  double clockRate_ = 1;
   RunnerObserver observer_;
   MonotonicTime startedAt_;
   std::uint64_t token_ = 0;
--- /dev/null
+++ b/Tests/LibJob/RunLeaseTest.cpp
@@ -0,0 +1,166 @@
+#include "Tests/LibJob/RunSupervisorFixture.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace vanillaworks;
+using namespace vanillaworks::job;
+using namespace vanillaworks::tests;
+
+namespace {
+using Fixture = RunSupervisorFixture;
+
+/** Time after which a caller without an answer starts its job elsewhere. */
+constexpr Milliseconds kCallerRetry{ 1300 };
+constexpr double kSlowestClock = 0.98;
+const EntryId kOtherEntry("entry-2");
+
+/** Plays a sound runner that answers everything at once, for aFor. */
+struct Player
+{
+  /** The run's lease, as the runner would keep it. */
+  MonotonicTime LeaseEnd() const
+  {
+    auto left = Milliseconds(leaseUntilMs - fixture.clockMs) / kSlowestClock;
+    return fixture.now + std::chrono::duration_cast<Milliseconds>(left);
+  }
+  void TakeCalls()
+  {
+    for (const auto& call : fixture.starts) {
+      leaseUntilMs = std::max(leaseUntilMs, call.leaseUntilMs);
+    }
+    fixture.starts.clear();
+    auto holds = std::move(fixture.holds);
+    fixture.holds.clear();
+    for (const auto& [number, call] : holds) {
+      leaseUntilMs = std::max(leaseUntilMs, call.leaseUntilMs);
+      fixture.supervisor.OnHoldAnswered(
+        number, fixture.Answer(running), fixture.now);
+    }
+  }
+  void Run(Milliseconds aFor)
+  {
+    for (Milliseconds passed{ 0 }; passed < aFor; passed += Milliseconds(1)) {
+      fixture.AdvanceTime(Milliseconds(1));
+      if (isOtherEntryUp) {
+        fixture.supervisor.OnRevalidated(kOtherEntry, fixture.now);
+      }
+      fixture.supervisor.OnTick(fixture.now);
+      TakeCalls();
+    }
+  }
+
+  Fixture fixture;
+  std::vector<RunningRow> running;
+  std::int64_t leaseUntilMs = 0;
+  bool isOtherEntryUp = false;
+};
+
+/** Starts a run of kEntry. */
+void
+StartRun(Player& aPlayer)
+{
+  auto& fixture = aPlayer.fixture;
+  fixture.Adopt();
+  fixture.Order(1);
+  fixture.supervisor.OnStartAnswered(
+    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  aPlayer.running = { { fixture.Key(0), 10 } };
+  aPlayer.TakeCalls();
+}
+}
+
+TEST_CASE("a run's lease ends before its caller's retry, whenever its agent "
+          "fails after the entry",
+          "[known-red]")
+{
+  Player player;
+  StartRun(player);
+  player.Run(Milliseconds(500));
+  player.fixture.supervisor.OnRevalidated(kEntry, player.fixture.now);
+  auto entryLostAt = player.fixture.now;
+  // The runner never carries out the stop, so that only the lease ends the run.
+  for (int passed = 0; passed < 1300; ++passed) {
+    player.Run(Milliseconds(1));
+    REQUIRE(player.LeaseEnd() - entryLostAt < kCallerRetry);
+  }
+}
+
+TEST_CASE("runs of another entry don't extend the lease of a lost entry's run",
+          "[known-red]")
+{
+  Player player;
+  StartRun(player);
+  auto& fixture = player.fixture;
+  fixture.supervisor.OnResume({ kOtherEntry, Incarnation(1), {} }, fixture.now);
+  fixture.supervisor.OnRevalidated(kOtherEntry, fixture.now);
+  protocol::RunOrder order;
+  order.job = SubmissionId("00000000000000bb");
+  order.cpu = 1000;
+  order.estimateMs = 5000;
+  order.startWithinMs = 500;
+  order.tasks = { { 0, 1 } };
+  fixture.supervisor.OnOrder(kOtherEntry, order, fixture.now);
+  player.isOtherEntryUp = true;
+  player.running.push_back({ { order.job, { 0, 1 } }, 10 });
+  player.Run(Milliseconds(100));
+  fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+  auto entryLostAt = fixture.now;
+  for (int passed = 0; passed < 1300; ++passed) {
+    player.Run(Milliseconds(1));
+    REQUIRE(player.LeaseEnd() - entryLostAt < kCallerRetry);
+  }
+}
+
+TEST_CASE(
+  "the lease of a cancelled run ends before its caller's retry although "
+  "its stop gets no answer",
+  "[known-red]")
+{
+  Player player;
+  StartRun(player);
+  auto& fixture = player.fixture;
+  player.Run(Milliseconds(100));
+  fixture.supervisor.OnCancel(
+    kEntry, { kJob, { { 0, 1 } }, protocol::CancelScope::All }, fixture.now);
+  auto cancelledAt = fixture.now;
+  for (int passed = 0; passed < 1300; ++passed) {
+    fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+    player.Run(Milliseconds(1));
+    REQUIRE(player.LeaseEnd() - cancelledAt < kCallerRetry);
+  }
+}
+
+TEST_CASE("a new process of an entry doesn't extend the lease of a run of the "
+          "former one",
+          "[known-red]")
+{
+  Player player;
+  StartRun(player);
+  auto& fixture = player.fixture;
+  player.Run(Milliseconds(100));
+  fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+  auto entryLostAt = fixture.now;
+  player.Run(Milliseconds(600));
+  fixture.supervisor.OnResume({ kEntry, Incarnation(2), {} }, fixture.now);
+  for (int passed = 600; passed < 1300; ++passed) {
+    fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+    player.Run(Milliseconds(1));
+    REQUIRE(player.LeaseEnd() - entryLostAt < kCallerRetry);
+  }
+}
+
+TEST_CASE("the lease of runs whose entry is in contact is renewed")
+{
+  Player player;
+  StartRun(player);
+  auto& fixture = player.fixture;
+  // An entry's frames echo what the agent sent up to half a second before.
+  constexpr Milliseconds kContactAge{ 520 };
+  for (int passed = 0; passed < 3000; ++passed) {
+    fixture.supervisor.OnRevalidated(kEntry, fixture.now - kContactAge);
+    player.Run(Milliseconds(1));
+    REQUIRE(player.LeaseEnd() - fixture.now > Milliseconds(500));
+  }
+  CHECK(fixture.ends.empty());
+}
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -82,17 +82,24 @@
     , index(aIndex)
   {
   }
+  /** Hands an answer to the process once it has arrived and the process runs.
+   */
+  void ReceiveLater(Milliseconds aDelay, std::function<void()> aAction)
+  {
+    cluster.Schedule(aDelay, [this, action = std::move(aAction)] {
+      cluster.WhenAwake(index, action);
+    });
+  }
   void CallStart(const job::StartCall& aCall) override
   {
     auto ofIncarnation = incarnation;
     auto answer = [this, ofIncarnation, aCall](job::StartResult aResult) {
-      cluster.Schedule(
-        kRunnerNetworkDelay, [this, ofIncarnation, aCall, aResult] {
-          if (incarnation == ofIncarnation) {
-            supervisor->OnStartAnswered(
-              aCall.key, aCall.target.token, aResult, cluster.now_);
-          }
-        });
+      ReceiveLater(kRunnerNetworkDelay, [this, ofIncarnation, aCall, aResult] {
+        if (incarnation == ofIncarnation) {
+          supervisor->OnStartAnswered(
+            aCall.key, aCall.target.token, aResult, cluster.now_);
+        }
+      });
     };
     cluster.SendToRunner(
       [this, answer, aCall] { answer(runner->Start(aCall, cluster.now_)); },
@@ -110,13 +117,12 @@
   {
     auto ofIncarnation = incarnation;
     auto answer = [this, ofIncarnation, aCall](job::StopResult aResult) {
-      cluster.Schedule(
-        kRunnerNetworkDelay, [this, ofIncarnation, aCall, aResult] {
-          if (incarnation == ofIncarnation) {
-            supervisor->OnStopAnswered(
-              aCall.key, aCall.target.token, aResult, cluster.now_);
-          }
-        });
+      ReceiveLater(kRunnerNetworkDelay, [this, ofIncarnation, aCall, aResult] {
+        if (incarnation == ofIncarnation) {
+          supervisor->OnStopAnswered(
+            aCall.key, aCall.target.token, aResult, cluster.now_);
+        }
+      });
     };
     cluster.SendToRunner(
       [this, answer, aCall] { answer(runner->Stop(aCall, cluster.now_)); },
@@ -135,12 +141,12 @@
         AnswerHoldAfterEnd(ofIncarnation, aNumber, aCall, until);
       },
       [this, ofIncarnation, aNumber, aCall] {
-        cluster.Schedule(
-          aCall.wait + Milliseconds(300), [this, ofIncarnation, aNumber] {
-            if (incarnation == ofIncarnation) {
-              supervisor->OnHoldAnswered(aNumber, {}, cluster.now_);
-            }
-          });
+        ReceiveLater(aCall.wait + Milliseconds(300),
+                     [this, ofIncarnation, aNumber] {
+                       if (incarnation == ofIncarnation) {
+                         supervisor->OnHoldAnswered(aNumber, {}, cluster.now_);
+                       }
+                     });
       });
   }
   void AnswerHoldAfterEnd(std::uint64_t aIncarnation,
@@ -157,12 +163,11 @@
       return;
     }
     auto answer = runner->Hold(aCall, cluster.now_);
-    cluster.Schedule(
-      kRunnerNetworkDelay, [this, aIncarnation, aNumber, answer] {
-        if (incarnation == aIncarnation) {
-          supervisor->OnHoldAnswered(aNumber, answer, cluster.now_);
-        }
-      });
+    ReceiveLater(kRunnerNetworkDelay, [this, aIncarnation, aNumber, answer] {
+      if (incarnation == aIncarnation) {
+        supervisor->OnHoldAnswered(aNumber, answer, cluster.now_);
+      }
+    });
   }
   void SendToEntry(const EntryId& aEntry, protocol::Message aMessage) override
   {
@@ -183,6 +188,9 @@
   MonotonicTime reportAt;
   std::uint64_t sentStatus = 0;
   MonotonicTime statusAt;
+  MonotonicTime frozenUntil;
+  /** What the process will find in its sockets when it goes on. */
+  std::vector<std::function<void()>> unread;
 };
 
 SimulatedJobCluster::SimulatedJobCluster(JobClusterOptions aOptions)
@@ -213,6 +221,7 @@
     node.runner->runTimeOf = [this](const job::RunKey& aKey) {
       return callers_.at(aKey.job.Value()).load.work;
     };
+    node.runner->SetClockRate(options_.runnerClockRate);
     node.runner->Crash(now_);
     StartAgent(i);
   }
@@ -276,6 +285,8 @@
   auto& node = *agents_[static_cast<std::size_t>(aAgent)];
   ++node.incarnation;
   node.control = {};
+  node.frozenUntil = {};
+  node.unread.clear();
   node.supervisor =
     std::make_unique<job::RunSupervisor>(UpstreamId(std::to_string(aAgent)),
                                          Incarnation(node.incarnation),
@@ -296,7 +307,41 @@
 }
 
 void
-SimulatedJobCluster::KillEntry(int aEntry)
+SimulatedJobCluster::FreezeAgent(int aAgent, Milliseconds aFor)
+{
+  auto& node = *agents_[static_cast<std::size_t>(aAgent)];
+  node.frozenUntil = now_ + aFor;
+  Schedule(aFor, [this, &node] {
+    if (IsFrozen(node.index)) {
+      return;
+    }
+    auto unread = std::move(node.unread);
+    node.unread.clear();
+    for (const auto& receive : unread) {
+      receive();
+    }
+  });
+}
+
+bool
+SimulatedJobCluster::IsFrozen(int aAgent) const
+{
+  return now_ < agents_[static_cast<std::size_t>(aAgent)]->frozenUntil;
+}
+
+void
+SimulatedJobCluster::WhenAwake(int aAgent, std::function<void()> aAction)
+{
+  if (IsFrozen(aAgent)) {
+    agents_[static_cast<std::size_t>(aAgent)]->unread.push_back(
+      std::move(aAction));
+    return;
+  }
+  aAction();
+}
+
+void
+SimulatedJobCluster::KillEntry(int aEntry, Milliseconds aDownFor)
 {
   auto& node = *entries_[static_cast<std::size_t>(aEntry)];
   auto waiters = std::move(node.waiters);
@@ -309,8 +354,8 @@
   node.control = {};
   node.dispatcher = std::make_unique<job::JobDispatcher>(
     job::JobDispatcherLimits{}, node.control, random_(), node);
-  node.dispatcher->BeginWarmUp(now_);
-  node.startedAt = now_;
+  node.startedAt = now_ + aDownFor;
+  node.dispatcher->BeginWarmUp(node.startedAt);
   for (const auto& [waiter, id] : waiters) {
     ScheduleRetry(id);
   }
@@ -329,10 +374,12 @@
     for (auto& node : entries_) {
       node->control.Adopt(update);
     }
-    for (auto& node : agents_) {
-      if (node->control.Adopt(update)) {
-        node->supervisor->OnControlChanged(now_);
-      }
+    for (auto& item : agents_) {
+      WhenAwake(item->index, [this, node = item.get(), update] {
+        if (node->control.Adopt(update)) {
+          node->supervisor->OnControlChanged(now_);
+        }
+      });
     }
   });
 }
@@ -357,6 +404,13 @@
   cuts_.insert({ aEntry, aAgent });
 }
 
+void
+SimulatedJobCluster::CutWithReset(int aEntry, int aAgent)
+{
+  Cut(aEntry, aAgent);
+  Unlink(aEntry, aAgent);
+}
+
 void
 SimulatedJobCluster::Recover(int aEntry, int aAgent)
 {
@@ -423,13 +477,15 @@
   auto& agent = *agents_[static_cast<std::size_t>(aAgent)];
   Deliver(
     aEntry, aAgent, [this, aEntry, &agent, message = std::move(aMessage)] {
-      EntryId name(EntryName(aEntry));
-      if (const auto* order = std::get_if<protocol::RunOrder>(&message)) {
-        agent.supervisor->OnOrder(name, *order, now_);
-      }
-      if (const auto* cancel = std::get_if<protocol::RunCancel>(&message)) {
-        agent.supervisor->OnCancel(name, *cancel, now_);
-      }
+      WhenAwake(agent.index, [this, aEntry, &agent, message] {
+        EntryId name(EntryName(aEntry));
+        if (const auto* order = std::get_if<protocol::RunOrder>(&message)) {
+          agent.supervisor->OnOrder(name, *order, now_);
+        }
+        if (const auto* cancel = std::get_if<protocol::RunCancel>(&message)) {
+          agent.supervisor->OnCancel(name, *cancel, now_);
+        }
+      });
     });
 }
 
@@ -450,21 +506,31 @@
     });
 }
 
+void
+SimulatedJobCluster::TickAgent(AgentNode& aNode)
+{
+  if (now_ >= aNode.reportAt) {
+    aNode.reportAt = now_ + kReportInterval;
+    aNode.supervisor->OnRunnerReport(aNode.runner->Report(now_), now_);
+  }
+  aNode.supervisor->OnTick(now_);
+}
+
 void
 SimulatedJobCluster::Tick()
 {
   for (auto& node : agents_) {
     node->runner->Advance(now_);
-    if (now_ >= node->reportAt) {
-      node->reportAt = now_ + kReportInterval;
-      node->supervisor->OnRunnerReport(node->runner->Report(now_), now_);
+    bool isFrozen = IsFrozen(node->index);
+    if (!isFrozen) {
+      TickAgent(*node);
     }
-    node->supervisor->OnTick(now_);
-    bool isDue = node->sentStatus != node->supervisor->StatusRevision() &&
+    bool isDue = !isFrozen &&
+                 node->sentStatus != node->supervisor->StatusRevision() &&
                  now_ - node->statusAt >= options_.statusInterval;
     for (auto& entry : entries_) {
       auto found = entry->links.find(node->index);
-      bool isCut = cuts_.contains({ entry->index, node->index });
+      bool isCut = isFrozen || cuts_.contains({ entry->index, node->index });
       if (found == entry->links.end()) {
         bool isConnected = now_ - entry->startedAt >= options_.connectDelay;
         if (!isCut && isConnected) {
@@ -508,6 +574,17 @@
   return id;
 }
 
+SimulatedJobCluster::EntryNode&
+SimulatedJobCluster::PickRunningEntry()
+{
+  for (;;) {
+    auto& entry = *entries_[random_() % entries_.size()];
+    if (now_ >= entry.startedAt) {
+      return entry;
+    }
+  }
+}
+
 void
 SimulatedJobCluster::Send(Caller& aCaller, const std::string& aId)
 {
@@ -518,7 +595,7 @@
     outcomes_[aId] = {};
     return;
   }
-  auto& entry = *entries_[random_() % entries_.size()];
+  auto& entry = PickRunningEntry();
   ++aCaller.attempts;
   WaiterId waiter(nextWaiter_++);
   entry.waiters[waiter] = aId;
--- a/Tests/LibJob/SimulatedJobCluster.h
+++ b/Tests/LibJob/SimulatedJobCluster.h
@@ -39,6 +39,8 @@
    * nothing to report to.
    */
   Milliseconds statusInterval{ 24 };
+  /** The runners' clocks relative to true time. */
+  double runnerClockRate = 1;
 };
 
 struct JobLoad
@@ -78,14 +80,19 @@
   MonotonicTime Now() const { return now_; }
   void Schedule(Milliseconds aDelay, std::function<void()> aAction);
 
-  void KillEntry(int aEntry);
+  /** A new process starts after aDownFor. */
+  void KillEntry(int aEntry, Milliseconds aDownFor = Milliseconds{ 0 });
   void KillAgent(int aAgent);
+  /** Stops the agent's process for aFor; its runner goes on. */
+  void FreezeAgent(int aAgent, Milliseconds aFor);
   void CrashRunner(int aAgent) { Runner(aAgent).Crash(now_); }
   /**
    * Interrupts the link: frames are held until Recover() or lost when the link
    * closes.
    */
   void Cut(int aEntry, int aAgent);
+  /** Interrupts the link and closes it at both ends. */
+  void CutWithReset(int aEntry, int aAgent);
   void Recover(int aEntry, int aAgent);
   void Close(int aDomain);
   void Open(int aDomain);
@@ -124,6 +131,8 @@
   };
 
   void Tick();
+  void TickAgent(AgentNode& aNode);
+  EntryNode& PickRunningEntry();
   void Send(Caller& aCaller, const std::string& aId);
   void OnAnswer(int aEntry, WaiterId aWaiter, const job::JobAnswer& aAnswer);
   void ScheduleRetry(const std::string& aId);
@@ -133,6 +142,9 @@
   void ToEntry(int aAgent, int aEntry, protocol::Message aMessage);
   void Deliver(int aEntry, int aAgent, std::function<void()> aAction);
   void StartAgent(int aAgent);
+  bool IsFrozen(int aAgent) const;
+  /** Runs aAction now, or once the agent's process goes on. */
+  void WhenAwake(int aAgent, std::function<void()> aAction);
   void OnStarted(int aAgent, const job::RunKey& aKey);
   void OnStopped(const job::RunKey& aKey);
   void PublishControl();
--- a/Tests/LibJob/SimulatedJobClusterTest.cpp
+++ b/Tests/LibJob/SimulatedJobClusterTest.cpp
@@ -264,6 +264,77 @@
   }
 }
 
+namespace {
+/**
+ * Loses an entry while long tasks run, and soon after it an agent; the runners'
+ * clocks are as slow as they may be.
+ */
+void
+LoseEntryThenAgent(std::uint64_t aSeed,
+                   const std::function<void(SimulatedJobCluster&)>& aLoseEntry,
+                   const std::function<void(SimulatedJobCluster&)>& aLoseAgent)
+{
+  INFO("seed " << aSeed);
+  JobClusterOptions options;
+  options.seed = aSeed;
+  options.runnerClockRate = 0.98;
+  SimulatedJobCluster cluster(options);
+  JobLoad lengthy{ 4, Milliseconds(2500) };
+  lengthy.callerTimeout = Milliseconds(15'000);
+  SubmitAtRate(cluster, lengthy, 3, Milliseconds(6000));
+  cluster.Run(Milliseconds(2000));
+  aLoseEntry(cluster);
+  cluster.Run(Milliseconds(400 + 30 * (aSeed % 30)));
+  aLoseAgent(cluster);
+  cluster.Run(Milliseconds(3000));
+  for (int agent = 0; agent < 6; ++agent) {
+    cluster.Recover(0, agent);
+  }
+  cluster.Run(Milliseconds(20'000));
+  CHECK(cluster.Violations() == kNoViolations);
+  CHECK(cluster.Count(job::JobState::Completed) >= 10);
+}
+
+void
+CutOffEntry(SimulatedJobCluster& aCluster)
+{
+  for (int agent = 0; agent < 6; ++agent) {
+    aCluster.CutWithReset(0, agent);
+  }
+}
+
+void
+LosePowerOfEntry(SimulatedJobCluster& aCluster)
+{
+  aCluster.KillEntry(0, Milliseconds(5000));
+}
+}
+
+TEST_CASE("an agent that freezes after its entry was lost runs no task twice",
+          "[known-red]")
+{
+  auto freezeAgents = [](SimulatedJobCluster& aCluster) {
+    aCluster.FreezeAgent(0, Milliseconds(3500));
+    aCluster.FreezeAgent(1, Milliseconds(3500));
+  };
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    LoseEntryThenAgent(seed, CutOffEntry, freezeAgents);
+    LoseEntryThenAgent(seed, LosePowerOfEntry, freezeAgents);
+  }
+}
+
+TEST_CASE("an agent that is killed after its entry was lost runs no task twice")
+{
+  auto killAgents = [](SimulatedJobCluster& aCluster) {
+    aCluster.KillAgent(0);
+    aCluster.KillAgent(1);
+  };
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    LoseEntryThenAgent(seed, CutOffEntry, killAgents);
+    LoseEntryThenAgent(seed, LosePowerOfEntry, killAgents);
+  }
+}
+
 namespace {
 void
 RunKillsAndCrashes(std::uint64_t aSeed)
