LibJob: Never take a runner's clock for later than it is

Found while the bounds after a lost contact were written down. The agent extrapolated the runner's clock from its last reading, which may be minutes old at an idle runner, as if it ran true. With a clock that is 2% slow, a lease asked for after a minute ended 1.2 s later than meant; only the runner's own limit of 1 s cut it down, whatever the entry's contact allowed. A run that started 0.9 s after the last contact could go on for 1 s more, past the caller's retry.

RunnerClock extrapolates with the slowest rate, so that an estimate is never ahead, and also reads the clock in the runner's reports.

--- a/Libraries/LibJob/Forward.h
+++ b/Libraries/LibJob/Forward.h
@@ -12,6 +12,7 @@
 class Placement;
 class RunSupervisor;
 class RunSupervisorPort;
+class RunnerClock;
 class RunnerHealth;
 class StartupHold;
 class UpstreamView;
--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -66,6 +66,7 @@
   auto learnedSlowness = runner_->report.learnedSlowness;
   runner_->report = aReport;
   runner_->report.learnedSlowness = learnedSlowness;
+  runner_->clock.OnRead(aReport.clockMs, aNow);
   ++statusRevision_;
   StartQueuedRuns(aNow);
   FlushReports();
@@ -157,7 +158,7 @@
   health_.Reset();
   health_.Seed(learnedSlowness, aNow);
   foreignRuns_.clear();
-  runner_ = RunnerIncarnation();
+  runner_ = RunnerIncarnation(limits_.maxClockDrift);
   runner_->report = aReport;
   runner_->report.learnedSlowness = learnedSlowness;
   runner_->token = aToken;
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -7,6 +7,7 @@
 #include "LibJob/ResponseTimeEstimator.h"
 #include "LibJob/Run.h"
 #include "LibJob/RunSupervisorPort.h"
+#include "LibJob/RunnerClock.h"
 #include "LibJob/RunnerHealth.h"
 #include "LibJob/RunnerReport.h"
 #include "LibProtocol/RunOrder.h"
@@ -120,11 +121,14 @@
   /** The current incarnation of the runner. */
   struct RunnerIncarnation
   {
+    explicit RunnerIncarnation(double aMaxClockDrift)
+      : clock(aMaxClockDrift)
+    {
+    }
+
     RunnerReport report;
     std::uint64_t token = 0;
-    /** The runner's clock, and the local time at which it was read. */
-    std::int64_t clockMs = 0;
-    MonotonicTime clockReadAt;
+    RunnerClock clock;
     std::uint64_t lastSeen = 0;
     std::uint64_t acknowledgedEnd = 0;
     /** The runner has no runs that are unknown to this process. */
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -141,8 +141,7 @@
     runner_->isReachable = true;
     ++statusRevision_;
   }
-  runner_->clockMs = aAnswer.clockMs;
-  runner_->clockReadAt = aNow;
+  runner_->clock.OnRead(aAnswer.clockMs, aNow);
   runner_->acknowledgedEnd = std::max(runner_->acknowledgedEnd, aHold.lastSeen);
   for (const auto& row : aAnswer.finished) {
     if (row.number <= runner_->lastSeen) {
--- a/Libraries/LibJob/RunSupervisorLease.cpp
+++ b/Libraries/LibJob/RunSupervisorLease.cpp
@@ -18,13 +18,11 @@
   if (lease.count() <= 0) {
     return 0;
   }
-  auto since =
-    std::chrono::duration_cast<Milliseconds>(aNow - runner_->clockReadAt);
   auto drift =
     std::chrono::duration_cast<Milliseconds>(lease * limits_.maxClockDrift);
   auto expiresAt = aNow + lease + drift + kLeaseMargin;
   runner_->leasesExpireAt = std::max(runner_->leasesExpireAt, expiresAt);
-  return runner_->clockMs + since.count() + lease.count();
+  return runner_->clock.EstimateMs(aNow) + lease.count();
 }
 
 Milliseconds
--- a/Tests/LibJob/RunLeaseTest.cpp
+++ b/Tests/LibJob/RunLeaseTest.cpp
@@ -146,6 +146,56 @@
   }
 }
 
+TEST_CASE("a run that starts at a runner that was idle for long has no longer "
+          "lease than another")
+{
+  Player player;
+  auto& fixture = player.fixture;
+  fixture.Adopt();
+  // The runner's clock is as slow as it may be.
+  fixture.now += std::chrono::seconds(60);
+  fixture.clockMs += 58'800;
+  fixture.supervisor.OnRunnerReport(fixture.Report(), fixture.now);
+  fixture.now += std::chrono::seconds(3);
+  fixture.clockMs += 2940;
+  fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+  auto entryLostAt = fixture.now;
+  fixture.now += Milliseconds(900);
+  fixture.clockMs += 882;
+  fixture.Order(1);
+  REQUIRE(fixture.starts.size() == 1);
+  player.TakeCalls();
+  CHECK(player.LeaseEnd() > fixture.now + Milliseconds(200));
+  CHECK(player.LeaseEnd() - entryLostAt < kCallerRetry);
+}
+
+TEST_CASE("a start that was refused for an outdated clock makes the agent read "
+          "the clock")
+{
+  Player player;
+  auto& fixture = player.fixture;
+  fixture.Adopt();
+  fixture.now += std::chrono::minutes(3);
+  fixture.clockMs += 180'000;
+  fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+  fixture.Order(1);
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.supervisor.OnStartAnswered(
+    fixture.Key(0), fixture.token, StartResult::Late, fixture.now);
+  CHECK(fixture.ends == std::vector{ protocol::RunOutcome::NoRoom });
+  REQUIRE(fixture.holds.size() == 1);
+  fixture.AnswerHold(fixture.Answer());
+  fixture.starts.clear();
+  protocol::RunOrder next;
+  next.job = kJob;
+  next.cpu = 1000;
+  next.startWithinMs = 500;
+  next.tasks = { { 0, 2 } };
+  fixture.supervisor.OnOrder(kEntry, next, fixture.now);
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(fixture.starts[0].leaseUntilMs > fixture.clockMs);
+}
+
 TEST_CASE("the lease of runs whose entry is in contact is renewed")
 {
   Player player;
