Tests: Lose an entry and freeze an agent in the soak

The soak never played the pair that made a task run twice (TWICE): its tasks last 0.7 s at most, so a run was over before its caller sent the job to another entry, and a killed entry was back at once.

The new fault submits two jobs with tasks of 2.6 s to an entry, kills it, freezes an agent 0.5 to 1.0 s later for 2.5 to 4 s, and only then starts the entry again.

--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kMaxOpenDescriptors = 512;
 constexpr std::size_t kTasksPerJob = 4;
 constexpr std::uint64_t kCallerCount = 8;
+/** A task still runs when its caller sends its job to another entry. */
+constexpr int kLongTaskMilliseconds = 2600;
 /**
  * Every second caller leaves after this time, as callers with a short deadline
  * do, and sends its job to another entry.
@@ -55,9 +57,8 @@
   if (!deployment_.WaitUntilReady()) {
     return { "the deployment did not become ready in time" };
   }
-  std::vector<std::thread> callers;
   for (std::uint64_t i = 0; i < kCallerCount; ++i) {
-    callers.emplace_back([this, i] { RunCaller(i); });
+    callers_.emplace_back([this, i] { RunCaller(i); });
   }
   auto until = Now() + seconds_ * 1'000'000LL;
   while (Now() < until) {
@@ -66,7 +67,7 @@
   }
   Recover();
   isStopping_ = true;
-  for (auto& caller : callers) {
+  for (auto& caller : callers_) {
     caller.join();
   }
   CheckRecovery();
@@ -86,11 +87,13 @@
   if (served == 0) {
     ReportViolation("no job was answered with status 200");
   }
-  fmt::print("{} jobs, {} served, {} refused, {} graceful stops\n",
+  fmt::print("{} jobs, {} served, {} refused, {} graceful stops, {} losses of "
+             "an entry and an agent\n",
              callerRecords_.size(),
              served,
              refused,
-             gracefulStopCount_);
+             gracefulStopCount_,
+             pairedLossCount_);
   return violations_;
 }
 
@@ -127,10 +130,9 @@
     }
     int gracefulStop = gracefulStop_;
     bool leavesEarly = aCaller % 2 == 1;
-    auto answer = deployment_.SubmitWithRetries(
+    auto answer = SubmitAndRecord(
       entry,
       id,
-      kTasksPerJob,
       taskMilliseconds,
       leavesEarly ? kShortTimeout : PlatformDeployment::kCallTimeout);
     bool wasStoppedGracefully =
@@ -139,17 +141,27 @@
       ReportViolation("a graceful stop of an entry lost the response to job " +
                       id);
     }
-    std::unique_lock lock(mutex_);
-    callerRecords_.push_back({ id, kTasksPerJob, std::move(answer) });
-    lock.unlock();
     std::this_thread::sleep_for(20ms);
   }
 }
 
+CallerAnswer
+SoakRound::SubmitAndRecord(std::size_t aEntry,
+                           const std::string& aId,
+                           int aTaskMilliseconds,
+                           Milliseconds aTimeout)
+{
+  auto answer = deployment_.SubmitWithRetries(
+    aEntry, aId, kTasksPerJob, aTaskMilliseconds, aTimeout);
+  std::scoped_lock lock(mutex_);
+  callerRecords_.push_back({ aId, kTasksPerJob, answer });
+  return answer;
+}
+
 void
 SoakRound::InjectFault()
 {
-  switch (PickNumber(0, 12)) {
+  switch (PickNumber(0, 14)) {
     case 0: {
       auto entry = PickEntry();
       deployment_.Entry(entry).Kill();
@@ -179,6 +191,9 @@
       return CloseDomainTemporarily();
     case 11:
       return DrainWorkerTemporarily();
+    case 12:
+    case 13:
+      return LoseEntryAndFreezeAgent();
     default:
       return StopEntryGracefully();
   }
@@ -223,6 +238,30 @@
   }
 }
 
+void
+SoakRound::LoseEntryAndFreezeAgent()
+{
+  constexpr std::uint64_t kLongJobs = 2;
+  constexpr std::uint64_t kFirstLongJob = 98ULL << 32U;
+  auto entry = PickEntry();
+  auto firstJob = kFirstLongJob + kLongJobs * pairedLossCount_++;
+  for (std::uint64_t i = 0; i < kLongJobs; ++i) {
+    auto id = PlatformDeployment::JobId(firstJob + i);
+    callers_.emplace_back([this, entry, id] {
+      SubmitAndRecord(
+        entry, id, kLongTaskMilliseconds, PlatformDeployment::kCallTimeout);
+    });
+  }
+  SleepRandomly(100, 400);
+  deployment_.Entry(entry).Kill();
+  SleepRandomly(500, 1000);
+  auto& agent = deployment_.Agent(PickWorker());
+  agent.Signal(SIGSTOP);
+  SleepRandomly(2500, 4000);
+  agent.Signal(SIGCONT);
+  deployment_.StartEntry(entry);
+}
+
 void
 SoakRound::CloseDomainTemporarily()
 {
--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace vanillaworks::system {
@@ -32,11 +33,21 @@
   void SleepRandomly(std::size_t aMinMs, std::size_t aMaxMs);
 
   void RunCaller(std::uint64_t aCaller);
+  /** Submits a job as a caller does and records the answer. */
+  CallerAnswer SubmitAndRecord(std::size_t aEntry,
+                               const std::string& aId,
+                               int aTaskMilliseconds,
+                               Milliseconds aTimeout);
   void InjectFault();
   void InjectProcessFault(Process& aProcess);
   void InjectRunnerFault();
   void InjectStoreFault();
   void InjectNetworkFault();
+  /**
+   * An entry is lost while tasks of several seconds run, and an agent freezes
+   * shortly before it would have stopped its runs of them.
+   */
+  void LoseEntryAndFreezeAgent();
   /**
    * The next three functions end all other faults first, so that the time
    * bounds of closing, draining and stopping can be checked.
@@ -63,6 +74,8 @@
   /** Number of the graceful stop in progress; 0 if there is none. */
   std::atomic<int> gracefulStop_{ 0 };
   int gracefulStopCount_ = 0;
+  std::uint64_t pairedLossCount_ = 0;
+  std::vector<std::thread> callers_;
   std::vector<NoStartInterval> noStartIntervals_;
   std::mutex mutex_;
   std::vector<CallerRecord> callerRecords_;
