LibJob: Ask for leases short enough that runs of a sound entry need not wait for them

With leases of 1 s a run had to wait, or went back to its entry, whenever its contact was older than 230 ms; agents without work for an entry send it a heartbeat every 400 ms.

A lease is 0.8 s long now, which leaves 430 ms for the age of the contact. Runs of a frozen agent or a silent runner end, and are placed again, 0.2 s earlier.

--- a/Libraries/LibJob/RunBounds.cpp
+++ b/Libraries/LibJob/RunBounds.cpp
@@ -15,6 +15,12 @@
 constexpr Milliseconds kNoticeAllowance{ 300 };
 /** Time for the runner to end runs whose lease has expired. */
 constexpr Milliseconds kLapseAllowance{ 50 };
+/**
+ * Age of the contact with an entry that is well: the heartbeat interval of an
+ * agent without work for it, and the way there and back.
+ */
+constexpr Milliseconds kContactAge{ 450 };
+constexpr Milliseconds kMinLease{ 200 };
 constexpr Milliseconds kMinEntryTimeout{ 200 };
 constexpr Milliseconds kMaxEntryTimeout{ 2000 };
 /** A runner's clock may be 2% slow (1/50). */
@@ -27,12 +33,16 @@
   RunBounds bounds{};
   bounds.entryTimeout = std::clamp(
     aCallerRetry - kStopAllowance, kMinEntryTimeout, kMaxEntryTimeout);
-  bounds.lease = std::min(aLongestLease, bounds.entryTimeout);
   bounds.lostAgentTimeout = bounds.entryTimeout + kStopAllowance;
-  auto drift = bounds.lease / kClockDriftDivisor;
+  auto latestEnd = bounds.lostAgentTimeout - kLapseAllowance;
+  // A run may start only if the runner's lease ends in time for it, so a lease
+  // leaves room for the age of the contact.
+  bounds.lease = std::min(
+    aLongestLease,
+    std::clamp(latestEnd - kContactAge, kMinLease, bounds.entryTimeout));
   bounds.cancelLease =
     std::max(bounds.entryTimeout - kNoticeAllowance, kMinEntryTimeout);
-  bounds.contactLease = bounds.lostAgentTimeout - kLapseAllowance - drift;
+  bounds.contactLease = latestEnd - bounds.lease / kClockDriftDivisor;
   return bounds;
 }
 
