LibProtocol+LibJob: Tell a run that was lost with its runner from one that was stopped

A run whose runner crashed, or was silent until the lease was over, ended as 'stopped' like one that was stopped on request, so neither E704 nor vanillaworks_retries_total could say how many runners a task had taken down. It is an outcome of its own now, runner_lost; runs that end as their runner shuts down stay 'stopped', with the evidence runner_left at the agent. The outcome is the last one on the wire, so that the numbers of the others stay. Nothing is decided by it yet.

--- a/Libraries/LibJob/RunEvent.h
+++ b/Libraries/LibJob/RunEvent.h
@@ -58,16 +58,18 @@
   ListedLapsed,
   /** The runner lists the run neither as active nor as ended. */
   NotListed,
-  /** The runner crashed or shut down. */
+  /** Another incarnation of the runner has taken its place. */
   RunnerLost,
+  /** The runner has said that it shuts down. */
+  RunnerLeft,
   /** The runner did not answer until the run's lease had expired. */
   LeaseExpired
 };
 
-inline constexpr std::array<std::string_view, 9> kEndEvidenceNames{
-  "not_called",    "start_refused",  "listed_done",
-  "listed_failed", "listed_stopped", "listed_lapsed",
-  "not_listed",    "runner_lost",    "lease_expired"
+inline constexpr std::array<std::string_view, 10> kEndEvidenceNames{
+  "not_called",     "start_refused", "listed_done", "listed_failed",
+  "listed_stopped", "listed_lapsed", "not_listed",  "runner_lost",
+  "runner_left",    "lease_expired"
 };
 
 /** The evidence's text in logs and metrics. Thread safe. */
--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -15,6 +15,16 @@
 /** Bounds the writes to the store. */
 constexpr Milliseconds kMinSlownessSaveInterval{ 5000 };
 
+/** The outcome of runs that end because the runner does not run them any more.
+ */
+protocol::RunOutcome
+OutcomeOf(EndEvidence aEvidence)
+{
+  return aEvidence == EndEvidence::RunnerLeft
+           ? protocol::RunOutcome::Stopped
+           : protocol::RunOutcome::RunnerLost;
+}
+
 std::set<RunKey>
 KeysOf(const HoldAnswer& aAnswer)
 {
@@ -181,7 +191,7 @@
     }
   }
   for (const auto& key : lost) {
-    End(key, protocol::RunOutcome::Stopped, aEvidence, aNow);
+    End(key, OutcomeOf(aEvidence), aEvidence, aNow);
   }
 }
 
@@ -221,7 +231,7 @@
   if (!runner_ || runner_->report.id != aRunner) {
     return;
   }
-  EndRunsExcept({}, EndEvidence::RunnerLost, aNow);
+  EndRunsExcept({}, EndEvidence::RunnerLeft, aNow);
   runner_.reset();
   pendingHolds_.clear();
   foreignRuns_.clear();
--- a/Libraries/LibProtocol/RunOutcome.h
+++ b/Libraries/LibProtocol/RunOutcome.h
@@ -16,11 +16,11 @@
   Done,
   /** It ran and failed, because of the task itself or of the worker. */
   Failed,
-  /** It ran in part and was stopped, or its worker was lost. */
+  /** It ran in part and was stopped. */
   Stopped,
   /** It made no progress and was stopped. */
   Stuck,
-  /** This and all following outcomes: it certainly never started. */
+  /** From here to OldRun: it certainly never started. */
   Expired,
   DomainClosed,
   Leaving,
@@ -29,13 +29,15 @@
   RefusedByWorker,
   Cancelled,
   /** The worker requires a higher run number. */
-  OldRun
+  OldRun,
+  /** The worker crashed, or was silent until the run's lease was over. */
+  RunnerLost
 };
 
-inline constexpr std::array<std::string_view, 13> kRunOutcomeNames{
-  "runs",    "done",      "failed",  "stopped", "stuck",
-  "expired", "closed",    "leaving", "no_room", "not_vouched",
-  "refused", "cancelled", "old_run"
+inline constexpr std::array<std::string_view, 14> kRunOutcomeNames{
+  "runs",    "done",      "failed",  "stopped",    "stuck",
+  "expired", "closed",    "leaving", "no_room",    "not_vouched",
+  "refused", "cancelled", "old_run", "runner_lost"
 };
 
 /** The outcome's text in logs and metrics. Thread safe. */
@@ -49,7 +51,7 @@
 constexpr bool
 NeverStarted(RunOutcome aOutcome)
 {
-  return aOutcome >= RunOutcome::Expired;
+  return aOutcome >= RunOutcome::Expired && aOutcome <= RunOutcome::OldRun;
 }
 
 }
--- a/Tests/LibJob/RunEvidenceTest.cpp
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -52,9 +52,19 @@
   }
   SECTION("lost with its runner")
   {
-    run.supervisor.OnRunnerLeft("r1", run.now);
+    run.startedMs += 5000;
+    run.sequence = 0;
+    run.Adopt();
     REQUIRE(run.events.size() == 1);
     CHECK(run.events[0].evidence == EndEvidence::RunnerLost);
+    CHECK(run.events[0].end.outcome == protocol::RunOutcome::RunnerLost);
+  }
+  SECTION("the runner has shut down")
+  {
+    run.supervisor.OnRunnerLeft("r1", run.now);
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].evidence == EndEvidence::RunnerLeft);
+    CHECK(run.events[0].end.outcome == protocol::RunOutcome::Stopped);
   }
   SECTION("not listed any more")
   {
@@ -72,5 +82,6 @@
     run.supervisor.OnTick(run.now);
     REQUIRE(run.events.size() == 1);
     CHECK(run.events[0].evidence == EndEvidence::LeaseExpired);
+    CHECK(run.events[0].end.outcome == protocol::RunOutcome::RunnerLost);
   }
 }
