--- a/Tests/LibJob/FakeRunner.h
+++ b/Tests/LibJob/FakeRunner.h
@@ -58,6 +58,10 @@
   const job::Resources& Used() const { return used_; }
   const job::Resources& Capacity() const { return report_.capacity; }
   std::size_t Running() const { return running_.size(); }
+  bool IsRunning(const job::RunKey& aKey) const
+  {
+    return running_.contains(aKey);
+  }
   const job::RunnerReport& Identity() const { return report_; }
 
 private:
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -15,6 +15,9 @@
 constexpr Milliseconds kCallerRetry{ 1300 };
 constexpr Milliseconds kClosePropagationLimit{ 2000 };
 constexpr Milliseconds kControlDelay{ 50 };
+/** From the start of a task that crashes its runner until the crash. */
+constexpr Milliseconds kCrashDelay{ 15 };
+constexpr Milliseconds kRunnerRestart{ 3000 };
 constexpr const char* kService = "tally";
 
 std::string
@@ -102,7 +105,10 @@
       });
     };
     cluster.SendToRunner(
-      [this, answer, aCall] { answer(runner->Start(aCall, cluster.now_)); },
+      [this, answer, aCall] {
+        answer(IsRunnerDown() ? job::StartResult::NotReached
+                              : runner->Start(aCall, cluster.now_));
+      },
       [this, answer, aCall] {
         cluster.Schedule(aCall.timeout,
                          [answer] { answer(job::StartResult::Unknown); });
@@ -125,7 +131,10 @@
       });
     };
     cluster.SendToRunner(
-      [this, answer, aCall] { answer(runner->Stop(aCall, cluster.now_)); },
+      [this, answer, aCall] {
+        answer(IsRunnerDown() ? job::StopResult::Unknown
+                              : runner->Stop(aCall, cluster.now_));
+      },
       [this, answer, aCall] {
         cluster.Schedule(aCall.timeout,
                          [answer] { answer(job::StopResult::Unknown); });
@@ -137,6 +146,10 @@
     auto until = cluster.now_ + aCall.wait;
     cluster.SendToRunner(
       [this, ofIncarnation, aNumber, aCall, until] {
+        if (IsRunnerDown()) {
+          AnswerHold(ofIncarnation, aNumber, NotReached());
+          return;
+        }
         runner->Hold(aCall, cluster.now_);
         AnswerHoldAfterEnd(ofIncarnation, aNumber, aCall, until);
       },
@@ -154,6 +167,10 @@
                           const job::HoldCall& aCall,
                           MonotonicTime aUntil)
   {
+    if (IsRunnerDown()) {
+      AnswerHold(aIncarnation, aNumber, {});
+      return;
+    }
     runner->Advance(cluster.now_);
     if (!runner->HasUnseenEnds(aCall) && cluster.now_ < aUntil) {
       cluster.Schedule(
@@ -162,13 +179,25 @@
         });
       return;
     }
-    auto answer = runner->Hold(aCall, cluster.now_);
-    ReceiveLater(kRunnerNetworkDelay, [this, aIncarnation, aNumber, answer] {
+    AnswerHold(aIncarnation, aNumber, runner->Hold(aCall, cluster.now_));
+  }
+  void AnswerHold(std::uint64_t aIncarnation,
+                  std::uint64_t aNumber,
+                  const job::HoldAnswer& aAnswer)
+  {
+    ReceiveLater(kRunnerNetworkDelay, [this, aIncarnation, aNumber, aAnswer] {
       if (incarnation == aIncarnation) {
-        supervisor->OnHoldAnswered(aNumber, answer, cluster.now_);
+        supervisor->OnHoldAnswered(aNumber, aAnswer, cluster.now_);
       }
     });
   }
+  bool IsRunnerDown() const { return cluster.now_ < runnerDownUntil; }
+  static job::HoldAnswer NotReached()
+  {
+    job::HoldAnswer answer;
+    answer.result = job::HoldResult::NotReached;
+    return answer;
+  }
   void SendToEntry(const EntryId& aEntry, protocol::Message aMessage) override
   {
     auto entry = std::stoi(aEntry.Value().substr(aEntry.Value().find('-') + 1));
@@ -189,6 +218,8 @@
   std::uint64_t sentStatus = 0;
   MonotonicTime statusAt;
   MonotonicTime frozenUntil;
+  /** Until then, nothing listens at the runner's address. */
+  MonotonicTime runnerDownUntil;
   /** What the process will find in its sockets when it goes on. */
   std::vector<std::function<void()>> unread;
 };
@@ -509,7 +540,7 @@
 void
 SimulatedJobCluster::TickAgent(AgentNode& aNode)
 {
-  if (now_ >= aNode.reportAt) {
+  if (now_ >= aNode.reportAt && !aNode.IsRunnerDown()) {
     aNode.reportAt = now_ + kReportInterval;
     aNode.supervisor->OnRunnerReport(aNode.runner->Report(now_), now_);
   }
@@ -660,6 +691,16 @@
 SimulatedJobCluster::OnStarted(int aAgent, const job::RunKey& aKey)
 {
   ++starts_;
+  auto& crashCount = crashCounts_[{ aKey.job, aKey.task.index }];
+  bool isStartedTooOften =
+    crashCount.crashes >= 3 && ++crashCount.startsAfterThree >= 3;
+  if (isStartedTooOften) {
+    violations_.push_back("three starts after three crashes: " +
+                          aKey.job.Value());
+  }
+  if (crashesRunner && crashesRunner(aKey)) {
+    Schedule(kCrashDelay, [this, aAgent, aKey] { CrashUnder(aAgent, aKey); });
+  }
   auto& runner = Runner(aAgent);
   auto& count = running_[{ aKey.job, aKey.task.index }];
   if (++count > 1) {
@@ -686,6 +727,50 @@
   }
 }
 
+void
+SimulatedJobCluster::TakeDownRunner(int aAgent, Milliseconds aFor)
+{
+  auto& node = *agents_[static_cast<std::size_t>(aAgent)];
+  node.runnerDownUntil = now_ + aFor;
+  node.reportAt = node.runnerDownUntil;
+  node.runner->Crash(now_);
+}
+
+void
+SimulatedJobCluster::CrashUnder(int aAgent, const job::RunKey& aKey)
+{
+  if (!Runner(aAgent).IsRunning(aKey)) {
+    return;
+  }
+  ++crashCounts_[{ aKey.job, aKey.task.index }].crashes;
+  TakeDownRunner(aAgent, kRunnerRestart);
+}
+
+std::size_t
+SimulatedJobCluster::CrashesUnder(const std::string& aJob) const
+{
+  std::size_t crashes = 0;
+  for (const auto& [task, count] : crashCounts_) {
+    if (task.first.Value() == aJob) {
+      crashes += count.crashes;
+    }
+  }
+  return crashes;
+}
+
+int
+SimulatedJobCluster::EntryServing(const std::string& aJob) const
+{
+  for (const auto& entry : entries_) {
+    for (const auto& [waiter, job] : entry->waiters) {
+      if (job == aJob) {
+        return entry->index;
+      }
+    }
+  }
+  return -1;
+}
+
 void
 SimulatedJobCluster::OnStopped(const job::RunKey& aKey)
 {
--- a/Tests/LibJob/SimulatedJobCluster.h
+++ b/Tests/LibJob/SimulatedJobCluster.h
@@ -86,6 +86,14 @@
   /** Stops the agent's process for aFor; its runner goes on. */
   void FreezeAgent(int aAgent, Milliseconds aFor);
   void CrashRunner(int aAgent) { Runner(aAgent).Crash(now_); }
+  /** The runner's next incarnation is there after aFor. */
+  void TakeDownRunner(int aAgent, Milliseconds aFor);
+  /** Tasks that take down each runner soon after it has started them. */
+  std::function<bool(const job::RunKey&)> crashesRunner;
+  /** How many runners a task of the job has taken down. */
+  std::size_t CrashesUnder(const std::string& aJob) const;
+  /** The entry at which the job's caller waits; -1 if it does not. */
+  int EntryServing(const std::string& aJob) const;
   /**
    * Interrupts the link: frames are held until Recover() or lost when the link
    * closes.
@@ -147,6 +155,7 @@
   void WhenAwake(int aAgent, std::function<void()> aAction);
   void OnStarted(int aAgent, const job::RunKey& aKey);
   void OnStopped(const job::RunKey& aKey);
+  void CrashUnder(int aAgent, const job::RunKey& aKey);
   void PublishControl();
   bool HappensWith(double aShare);
   void SendToRunner(std::function<void()> aAction,
@@ -166,6 +175,12 @@
   std::map<std::string, Outcome> outcomes_;
   std::map<std::pair<SubmissionId, std::uint32_t>, int> running_;
   std::set<SubmissionId> startedJobs_;
+  struct CrashCount
+  {
+    std::size_t crashes = 0;
+    std::size_t startsAfterThree = 0;
+  };
+  std::map<std::pair<SubmissionId, std::uint32_t>, CrashCount> crashCounts_;
   std::map<std::string, MonotonicTime> closedAt_;
   std::uint64_t revision_ = 0;
   std::uint64_t nextId_ = 1;
