--- a/Libraries/LibJob/LostRunnerCounts.cpp
+++ b/Libraries/LibJob/LostRunnerCounts.cpp
@@ -22,7 +22,7 @@
   for (const auto& run : aLost.runs) {
     Task task(run.job, run.task);
     Runner runner(aUpstream, run.runnerStartedMs);
-    if (!records_[task].runners.contains(runner)) {
+    if (!RecordOf(task).runners.contains(runner)) {
       newByRunner[runner].push_back(std::move(task));
     }
   }
@@ -38,11 +38,11 @@
 {
   std::size_t mostBlames = 0;
   for (const auto& task : aTasks) {
-    mostBlames = std::max(mostBlames, records_[task].blames);
+    mostBlames = std::max(mostBlames, RecordOf(task).blames);
   }
   std::vector<Record*> toBlame;
   for (const auto& task : aTasks) {
-    auto& record = records_[task];
+    auto& record = RecordOf(task);
     record.runners.insert(aRunner);
     losses_.push_back({ task, aRunner, aNow });
     if (record.blames == mostBlames) {
@@ -61,13 +61,20 @@
 bool
 LostRunnerCounts::IsGivenUp(const SubmissionId& aJob, std::uint32_t aTask) const
 {
-  auto found = records_.find({ aJob, aTask });
-  if (found == records_.end()) {
-    return false;
+  const auto* record = Find(aJob, aTask);
+  return record && ((record->wasBlamedAlone && record->blames >= kMaxBlames) ||
+                    record->runners.size() >= kMaxLostRunners);
+}
+
+const LostRunnerCounts::Record*
+LostRunnerCounts::Find(const SubmissionId& aJob, std::uint32_t aTask) const
+{
+  auto job = records_.find(aJob);
+  if (job == records_.end()) {
+    return nullptr;
   }
-  const auto& record = found->second;
-  return (record.wasBlamedAlone && record.blames >= kMaxBlames) ||
-         record.runners.size() >= kMaxLostRunners;
+  auto task = job->second.find(aTask);
+  return task == job->second.end() ? nullptr : &task->second;
 }
 
 void
@@ -82,10 +89,14 @@
 LostRunnerCounts::ForgetOldest()
 {
   const auto& oldest = losses_.front();
-  auto found = records_.find(oldest.task);
-  found->second.runners.erase(oldest.runner);
-  if (found->second.runners.empty()) {
-    records_.erase(found);
+  auto& tasks = records_.at(oldest.task.first);
+  auto& record = tasks.at(oldest.task.second);
+  record.runners.erase(oldest.runner);
+  if (record.runners.empty()) {
+    tasks.erase(oldest.task.second);
+  }
+  if (tasks.empty()) {
+    records_.erase(oldest.task.first);
   }
   losses_.pop_front();
 }
--- a/Libraries/LibJob/LostRunnerCounts.h
+++ b/Libraries/LibJob/LostRunnerCounts.h
@@ -30,7 +30,7 @@
   /** Whether the task was at work on a runner as it was lost. */
   bool IsSuspect(const SubmissionId& aJob, std::uint32_t aTask) const
   {
-    return records_.contains({ aJob, aTask });
+    return Find(aJob, aTask) != nullptr;
   }
   /** Whether the task must not be started again. */
   bool IsGivenUp(const SubmissionId& aJob, std::uint32_t aTask) const;
@@ -55,12 +55,17 @@
     MonotonicTime at;
   };
 
+  const Record* Find(const SubmissionId& aJob, std::uint32_t aTask) const;
+  Record& RecordOf(const Task& aTask)
+  {
+    return records_[aTask.first][aTask.second];
+  }
   void AddLossOf(const Runner& aRunner,
                  const std::vector<Task>& aTasks,
                  MonotonicTime aNow);
   void ForgetOldest();
 
-  std::map<Task, Record> records_;
+  std::map<SubmissionId, std::map<std::uint32_t, Record>> records_;
   /** The losses in the order in which they became known. */
   std::deque<Loss> losses_;
 };
