LibJob: Start nothing by a report that is older than a shrunk room may count

Cause: an agent took the room from any report of the running incarnation, however old. The report that a process of the agent saves is from the adoption of the runner, so a later process started up to the first room until the runner's next own report. The same held for a process that had not run for some seconds, for lost reports and for a delayed one.

Change: the supervisor counts a report's age by the runner's clock, from when it was written. Above 4 s (a former room counts 3 s and one beat of 1.5 s) it starts nothing, retries no start and tells its entries that it accepts nothing; queued runs stay and start with the next report. A saved report has no clock, so it serves to verify the runner, to end unknown runs and for the slowness only, unless the runner is younger than that. The clock in the refusal of a token no longer becomes the report's: it made a saved report look new.

Saving the report again with each change, the other way, was ruled out: a room that shrinks while no process of the agent is up, or whose saving gets lost, is not in the store. It would cost store calls too. The price of this way is that a new process of an agent waits for the runner's next report, up to one beat.

Three older tests let a runner send no report for longer than that and expected starts. They are as strict as before: - The stored report's title said that runs start before the next report, which LIMIT forbids. They still do at a young runner; at an older one nothing but the report is awaited. - The runner whose slowness is learned reports regularly now. - The outdated clock of a lease comes from a delayed report now, and the test checks in addition that the clock was outdated.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -64,7 +64,7 @@
   if (!isKnownIncarnation) {
     // This may be a delayed report of an earlier incarnation, so a hold call
     // checks which incarnation is running.
-    VerifyReport(aReport, aNow);
+    VerifyReport(aReport, aReport.clockMs, aNow);
     return;
   }
   if (aReport.learnedSlowness > 0) {
@@ -81,22 +81,26 @@
   runner_->report = aReport;
   runner_->report.learnedSlowness = learnedSlowness;
   runner_->clock.OnRead(aReport.clockMs, aNow);
+  UpdateRoomKnown(aNow);
   ++statusRevision_;
   StartQueuedRuns(aNow);
   FlushReports();
 }
 
 void
-RunSupervisor::VerifyReport(const RunnerReport& aReport, MonotonicTime aNow)
+RunSupervisor::VerifyReport(const RunnerReport& aReport,
+                            std::int64_t aClockMs,
+                            MonotonicTime aNow)
 {
   if (verification_) {
     nextReport_ = aReport;
     return;
   }
   candidateReport_ = aReport;
+  candidateClockMs_ = aClockMs;
   // The runner's start time and clock only increase, so a later process of this
   // agent derives a higher token without any coordination.
-  auto token = static_cast<std::uint64_t>(aReport.startedMs + aReport.clockMs);
+  auto token = static_cast<std::uint64_t>(aReport.startedMs + aClockMs);
   if (runner_) {
     token = std::max(token, runner_->token + 1);
   }
@@ -117,12 +121,11 @@
     // If a token from the current clock is refused as well, an earlier process
     // had raised its token beyond the clock.
     bool isFirst =
-      verificationFencedCount_++ == 0 && aAnswer.clockMs > candidate.clockMs;
-    candidate.clockMs =
-      isFirst
-        ? aAnswer.clockMs
-        : candidate.clockMs + static_cast<std::int64_t>(kFencedTokenIncrement);
-    VerifyReport(candidate, aNow);
+      verificationFencedCount_++ == 0 && aAnswer.clockMs > candidateClockMs_;
+    auto clockMs = isFirst ? aAnswer.clockMs
+                           : candidateClockMs_ +
+                               static_cast<std::int64_t>(kFencedTokenIncrement);
+    VerifyReport(candidate, clockMs, aNow);
     return;
   }
   verificationFencedCount_ = 0;
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -52,6 +52,13 @@
   Milliseconds stuckTimeout{ 200 };
   /** How long reported ends are kept for an entry whose link was lost. */
   Milliseconds endRetention{ 6000 };
+  /**
+   * Nothing is started by a report of the runner that is older than this, since
+   * the room there may have shrunk. Must be shorter than the time for which the
+   * former room still counts (contactMs and one heartbeat), by the time that a
+   * start call takes.
+   */
+  Milliseconds maxReportAge{ 4000 };
   std::size_t maxQueue = 512;
 };
 
@@ -137,6 +144,8 @@
     /** The runner answers calls; nothing is started while it does not. */
     bool isReachable = true;
     MonotonicTime unreachableSince;
+    /** Whether entries were told that the room is known; see IsRoomKnown(). */
+    bool isRoomKnown = true;
     MonotonicTime lastAnswerAt;
     MonotonicTime nextHoldAt;
     /** When the leases of all started runs have expired. */
@@ -171,7 +180,10 @@
   };
   using QueueKey = std::tuple<std::uint32_t, std::uint64_t, RunKey>;
 
-  void VerifyReport(const RunnerReport& aReport, MonotonicTime aNow);
+  /** aClockMs: the latest that is known of the runner's clock. */
+  void VerifyReport(const RunnerReport& aReport,
+                    std::int64_t aClockMs,
+                    MonotonicTime aNow);
   void OnVerificationAnswered(const HoldAnswer& aAnswer, MonotonicTime aNow);
   void AdoptIncarnation(const RunnerReport& aReport,
                         const HoldAnswer& aAnswer,
@@ -238,6 +250,13 @@
   bool MustEndAfterLease(const Run& aRun) const;
 
   bool MayStart() const;
+  /**
+   * Whether the runner's report is recent enough to start runs by. A saved one
+   * is not, unless the runner has hardly run for longer.
+   */
+  bool IsRoomKnown(MonotonicTime aNow) const;
+  /** Lets entries know when the room becomes known or unknown. */
+  void UpdateRoomKnown(MonotonicTime aNow);
   /** Whether some run of the task is queued or active here. */
   bool HasRunOfTask(const RunKey& aKey) const;
   bool IsRevalidated(const EntryId& aEntry, MonotonicTime aNow) const;
@@ -314,6 +333,7 @@
    */
   std::optional<RunnerReport> candidateReport_;
   std::optional<RunnerReport> nextReport_;
+  std::int64_t candidateClockMs_ = 0;
   int verificationFencedCount_ = 0;
   /**
    * Pending hold calls by number. Another one is made when an answer is
--- a/Libraries/LibJob/RunSupervisorEstimates.cpp
+++ b/Libraries/LibJob/RunSupervisorEstimates.cpp
@@ -125,7 +125,7 @@
   status.acceleratorsFree = free.accelerators;
   status.startInMs = EstimateStartDelayOfNext(aNow).count();
   status.slownessPermille = health_.SlownessPermille();
-  status.accepting = MayStart();
+  status.accepting = MayStart() && IsRoomKnown(aNow);
   status.suspect = health_.IsSuspect(aNow);
   return status;
 }
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -247,7 +247,7 @@
   auto free = FreeResources();
   auto taken = CountOccupyingRuns();
   bool isRunnerSuspect = health_.IsSuspect(aNow);
-  bool canLease = CanLease(aNow);
+  bool canStart = CanLease(aNow) && IsRoomKnown(aNow);
   bool hasSuspectRun = HasSuspectRun();
   auto waiting = queue_;
   for (const auto& item : waiting) {
@@ -260,7 +260,7 @@
       EndUnstarted(RunKey(run.key), protocol::RunOutcome::Expired, aNow);
       continue;
     }
-    bool hasRoom = canLease && MustEndAfterLease(run) && free.Fits(run.demand);
+    bool hasRoom = canStart && MustEndAfterLease(run) && free.Fits(run.demand);
     bool mustBeApart =
       (isRunnerSuspect && taken > 0) || (run.isSuspect && hasSuspectRun);
     bool mustWait = !hasRoom || mustBeApart;
@@ -298,6 +298,7 @@
 {
   health_.OnTick(aNow);
   SaveLearnedSlowness(aNow);
+  UpdateRoomKnown(aNow);
   bool hasLeaseExpired = runner_ && aNow > runner_->leasesExpireAt;
   if (hasLeaseExpired && CountOccupyingRuns() > 0) {
     // The runner has not answered for so long that all leases there have
--- a/Libraries/LibJob/RunSupervisorStarts.cpp
+++ b/Libraries/LibJob/RunSupervisorStarts.cpp
@@ -65,7 +65,8 @@
   OnNoAnswer(aNow);
   bool mayRetry = aRun.phase == RunPhase::Starting && !aRun.IsStopping() &&
                   aRun.startAttempts < kMaxStartAttempts && MayStart() &&
-                  CanLease(aNow) && IsRevalidated(aRun.entry, aNow);
+                  CanLease(aNow) && IsRoomKnown(aNow) &&
+                  IsRevalidated(aRun.entry, aNow);
   if (mayRetry) {
     // The retry can't start the run twice: the runner answers that an active
     // run has started.
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -141,7 +141,8 @@
 void
 JobAgent::LoadStoredRunnerReport()
 {
-  // The runner reports only every one or two seconds; starts need not wait.
+  // The runner reports only every one or two seconds; all but its room is known
+  // before that.
   store_.ReadRow(
     kRunnersTable, settings_.upstream.Value(), [this](wire::StoreRows aRows) {
       if (aRows.rows.empty()) {
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -64,7 +64,8 @@
   void ReadEntries();
   /**
    * Loads the runner report that a previous process of this agent stored, so
-   * that work need not wait for the runner's next report.
+   * that the runner is verified and cleared before its next report, by which
+   * runs start.
    */
   void LoadStoredRunnerReport();
   /** Records that it is unknown whether the run has started. */
--- a/Tests/LibJob/RunLeaseTest.cpp
+++ b/Tests/LibJob/RunLeaseTest.cpp
@@ -233,11 +233,14 @@
   Player player;
   auto& fixture = player.fixture;
   fixture.Adopt();
-  fixture.now += std::chrono::minutes(3);
-  fixture.clockMs += 180'000;
+  fixture.AdvanceTime(std::chrono::minutes(3) - Milliseconds(3000));
+  auto delayed = fixture.Report();
+  fixture.AdvanceTime(Milliseconds(3000));
+  fixture.supervisor.OnRunnerReport(delayed, fixture.now);
   fixture.supervisor.OnRevalidated(kEntry, fixture.now);
   fixture.Order(1);
   REQUIRE(fixture.starts.size() == 1);
+  REQUIRE(fixture.starts[0].leaseUntilMs < fixture.clockMs);
   fixture.supervisor.OnStartAnswered(
     fixture.Key(0), fixture.token, StartResult::Late, fixture.now);
   CHECK(fixture.ends == std::vector{ protocol::RunOutcome::NoRoom });
--- a/Tests/LibJob/RunSupervisorTest.cpp
+++ b/Tests/LibJob/RunSupervisorTest.cpp
@@ -157,22 +157,30 @@
   CHECK(fixture.ends == std::vector{ RunOutcome::NotRevalidated });
 }
 
-TEST_CASE(
-  "a stored report lets a new process start runs before the next report")
+TEST_CASE("a stored report lets a new process start runs as soon as the "
+          "runner's room is known")
 {
-  Fixture fixture(9000);
+  std::int64_t clockMs = GENERATE(3000, 9000);
+  Fixture fixture(clockMs);
   auto stored = fixture.Report();
   stored.sequence = 0;
   stored.clockMs = 0;
   fixture.supervisor.OnRunnerReport(stored, fixture.now);
   // The earlier process's token is higher; the refusal contains the runner's
   // clock.
-  HoldAnswer fenced{ HoldResult::Fenced, 9001, 0, {}, {} };
+  HoldAnswer fenced{ HoldResult::Fenced, clockMs + 1, 0, {}, {} };
   fixture.AnswerHold(fenced);
   CHECK(fixture.holds.back().second.target.token ==
-        static_cast<std::uint64_t>(fixture.startedMs + 9001));
+        static_cast<std::uint64_t>(fixture.startedMs + clockMs + 1));
   fixture.AnswerHold(fixture.Answer());
   fixture.Order(1);
+  if (clockMs == 9000) {
+    // The room may have shrunk since, so the next report is awaited. Nothing
+    // else is: no other call precedes the start.
+    CHECK(fixture.starts.empty());
+    fixture.holds.clear();
+    fixture.supervisor.OnRunnerReport(fixture.Report(), fixture.now);
+  }
   CHECK(fixture.starts.size() == 1);
 }
 
@@ -219,6 +227,7 @@
       former.Key(0), former.token, StartResult::Started, former.now);
     former.AdvanceTime(Milliseconds(150));
     former.Revalidate();
+    former.supervisor.OnRunnerReport(former.Report(), former.now);
     former.AnswerHold(
       former.Answer({}, { { i, former.Key(0), EndKind::Done } }));
     former.supervisor.OnTick(former.now);
