LibJob: Return a queued run for which its runner has become too small

A run that needs more than the whole room of its runner stayed in the agent's queue until its time to start was over, and then went back as expired.

Cause: the estimate of a run's wait looks at processors only and is 0 at a runner without runs, also if its room is 0; memory and accelerators aren't looked at. Entries send no such run, by the room in the agent's status.

Change: a run beyond the room that the runner's recent report states is returned as NoRoom when it arrives or when the room shrinks, so that its entry can place or reject it while there is time. While the room is unknown it stays.

Tests: of three new cases in RunnerRoomTest.cpp two failed before (13 of 32 checks), for rooms of 0, below 0, without memory and without accelerators. The third, on runs above a shrunk room and on growth, passed before as well. All of job-tests pass after it (87 cases).

--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -255,6 +255,11 @@
    * is not, unless the runner has hardly run for longer.
    */
   bool IsRoomKnown(MonotonicTime aNow) const;
+  /**
+   * Whether the runner is too small for the run, even without any other. Such a
+   * run goes back to its entry, since another worker may have the room.
+   */
+  bool IsBeyondRoom(const Run& aRun, MonotonicTime aNow) const;
   /** Lets entries know when the room becomes known or unknown. */
   void UpdateRoomKnown(MonotonicTime aNow);
   /** Whether some run of the task is queued or active here. */
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -260,6 +260,10 @@
       EndUnstarted(RunKey(run.key), protocol::RunOutcome::Expired, aNow);
       continue;
     }
+    if (IsBeyondRoom(run, aNow)) {
+      EndUnstarted(RunKey(run.key), protocol::RunOutcome::NoRoom, aNow);
+      continue;
+    }
     bool hasRoom = canStart && MustEndAfterLease(run) && free.Fits(run.demand);
     bool mustBeApart =
       (isRunnerSuspect && taken > 0) || (run.isSuspect && hasSuspectRun);
--- a/Libraries/LibJob/RunSupervisorRoom.cpp
+++ b/Libraries/LibJob/RunSupervisorRoom.cpp
@@ -14,6 +14,12 @@
   return age <= limits_.maxReportAge.count();
 }
 
+bool
+RunSupervisor::IsBeyondRoom(const Run& aRun, MonotonicTime aNow) const
+{
+  return IsRoomKnown(aNow) && !runner_->report.capacity.Fits(aRun.demand);
+}
+
 void
 RunSupervisor::UpdateRoomKnown(MonotonicTime aNow)
 {
--- a/Tests/LibJob/RunnerRoomTest.cpp
+++ b/Tests/LibJob/RunnerRoomTest.cpp
@@ -118,3 +118,75 @@
   CHECK(fixture.starts.size() == 1);
   CHECK(fixture.stops.size() == 1);
 }
+
+TEST_CASE("a run for which the runner is too small is returned at once")
+{
+  auto room = GENERATE(Resources{ 0, 0, 0 },
+                       Resources{ -1, -1, -1 },
+                       Resources{ 999, 1000, 0 },
+                       Resources{ 2000, 1000, -1 });
+  Fixture fixture;
+  fixture.Adopt();
+  SECTION("if the room has shrunk before its order")
+  {
+    ReportRoom(fixture, room);
+    fixture.Order(1, 5000);
+    CHECK(fixture.starts.empty());
+    CHECK(fixture.ends == std::vector{ RunOutcome::NoRoom });
+  }
+  SECTION("if the room shrinks while it is queued")
+  {
+    fixture.Order(3, 5000);
+    REQUIRE(fixture.supervisor.Queued() == 1);
+    ReportRoom(fixture, room);
+    CHECK(fixture.supervisor.Queued() == 0);
+    CHECK(fixture.ends == std::vector{ RunOutcome::NoRoom });
+  }
+}
+
+TEST_CASE("a run whose memory a shrunk room lacks is returned at once")
+{
+  Fixture fixture;
+  fixture.Adopt();
+  ReportRoom(fixture, { 2000, 10, 0 });
+  protocol::RunOrder order;
+  order.job = kJob;
+  order.cpu = 1000;
+  order.memory = 11;
+  order.startWithinMs = 5000;
+  order.tasks = { { 0, 1 } };
+  fixture.supervisor.OnOrder(kEntry, order, fixture.now);
+  CHECK(fixture.ends == std::vector{ RunOutcome::NoRoom });
+}
+
+TEST_CASE("runs above a shrunk room go on, and queued ones start as soon as "
+          "there is room")
+{
+  Fixture fixture;
+  fixture.Adopt();
+  fixture.Order(3, 5000);
+  REQUIRE(fixture.starts.size() == 2);
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    fixture.supervisor.OnStartAnswered(
+      fixture.Key(i), fixture.token, StartResult::Started, fixture.now);
+  }
+  ReportRoom(fixture, kRoomForOne);
+  CHECK(fixture.stops.empty());
+  CHECK(fixture.supervisor.Queued() == 1);
+  CHECK(fixture.supervisor.Status(kEntry, fixture.now).cpuFree == -2000);
+  fixture.AdvanceTime(Milliseconds(100));
+  SECTION("since the runs end")
+  {
+    fixture.AnswerHold(fixture.Answer(
+      { { fixture.Key(1), 90 } }, { { 1, fixture.Key(0), EndKind::Done } }));
+    CHECK(fixture.starts.size() == 2);
+    fixture.AnswerHold(
+      fixture.Answer({}, { { 2, fixture.Key(1), EndKind::Done } }));
+    CHECK(fixture.starts.size() == 3);
+  }
+  SECTION("since the room grows")
+  {
+    ReportRoom(fixture, { 3000, 1000, 0 });
+    CHECK(fixture.starts.size() == 3);
+  }
+}
