Tests: Check a runner's room over random histories

A runner's room shrinks, grows and becomes 0; reports arrive late and out of order; agents end, start by the saved report and freeze; answers to starts get lost. When all is calm, no run that fits may wait for longer than 250 ms, and none is left after the room has grown.

An earlier form of the test failed at its own precondition, a queue at the small room: the agent had rightly returned runs that it did not expect to start within 3 s.

--- a/Tests/LibJob/FakeRunner.h
+++ b/Tests/LibJob/FakeRunner.h
@@ -51,6 +51,11 @@
   void Crash(MonotonicTime aNow);
   job::RunnerReport Report(MonotonicTime aNow);
   void SetState(job::RunnerState aState) { report_.state = aState; }
+  /** Runs beyond a smaller capacity go on. */
+  void SetCapacity(const job::Resources& aCapacity)
+  {
+    report_.capacity = aCapacity;
+  }
   void SetSlowness(double aSlowness) { slowness_ = aSlowness; }
   /** aRate: the runner's clock relative to true time; 0.98 is 2% slow. */
   void SetClockRate(double aRate) { clockRate_ = aRate; }
