Tests: Crash each runner that starts a given task

No test could play this: a stand-in's crash was set by mode, not by a task, and it went on listening.

RunnerStandIn crashes 20 ms after it has started a task that the test names: it ends all runs, refuses connections for 2 s and begins a new incarnation with another `born` and lower `seq`. The records and the control of a runner move to an address of their own, so that a test reads them while it is down.

The test sends a job of which one task crashes each runner, with a deadline of 20 s. The job must be answered `failed` in time after at most four crashes, and other jobs must complete.

--- a/Tests/StandIns/Main.cpp
+++ b/Tests/StandIns/Main.cpp
@@ -33,7 +33,10 @@
     "relay: host:port to forward connections to")(
     "control",
     po::value<std::string>()->default_value(""),
-    "relay: host:port of its control server; runner: host:port of its agent")(
+    "relay, runner: host:port of its control server")(
+    "agent",
+    po::value<std::string>()->default_value(""),
+    "runner: host:port of its agent")(
     "delay-us",
     po::value<std::int64_t>()->default_value(0),
     "relay: delay in each direction, in microseconds")(
@@ -74,7 +77,8 @@
   } else if (role == "runner") {
     standins::RunnerStandInOptions runnerOptions;
     runnerOptions.listenAddress = listen;
-    runnerOptions.agentAddress = values["control"].as<std::string>();
+    runnerOptions.controlAddress = values["control"].as<std::string>();
+    runnerOptions.agentAddress = values["agent"].as<std::string>();
     runnerOptions.id = values["id"].as<std::string>();
     runnerOptions.domain = values["domain"].as<std::string>();
     isListening = runner.emplace(loop, runnerOptions).IsListening();
--- a/Tests/StandIns/RunnerStandIn.cpp
+++ b/Tests/StandIns/RunnerStandIn.cpp
@@ -14,6 +14,8 @@
 constexpr int kConflict = 409;
 constexpr Milliseconds kReportInterval{ 500 };
 constexpr Milliseconds kAdvanceInterval{ 5 };
+/** Time from the start of a task until it crashes the runner. */
+constexpr Milliseconds kCrashDelay{ 20 };
 
 job::RunKey
 ParseRunKey(const nlohmann::json& aBody)
@@ -65,20 +67,12 @@
 
 RunnerStandIn::RunnerStandIn(service::EventLoop& aLoop,
                              RunnerStandInOptions aOptions)
-  : options_(std::move(aOptions))
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
   , runner_(InitialReport(options_),
             options_.slowness,
-            { [this](const job::RunKey& aKey) {
-               records_.push_back({ aKey, ToMicroseconds(MonotonicNow()), 0 });
-               hasExceededCapacity_ |= !runner_.Capacity().Fits(runner_.Used());
-             },
-              [this](const job::RunKey& aKey) {
-                for (auto& record : records_) {
-                  if (record.key == aKey && record.endedAtUs == 0) {
-                    record.endedAtUs = ToMicroseconds(MonotonicNow());
-                  }
-                }
-              } })
+            { [this](const job::RunKey& aKey) { RecordStart(aKey); },
+              [this](const job::RunKey& aKey) { RecordEnd(aKey); } })
   , client_(std::make_unique<service::LoopHttpClient>(aLoop, 2))
 {
   runner_.Crash(MonotonicNow());
@@ -86,9 +80,10 @@
     return runTimes_[aKey];
   };
   runner_.failsTask = [this](const job::RunKey&) { return mode_ == "failing"; };
-  server_ = std::make_unique<StandInServer>(
-    aLoop.Base(), options_.listenAddress, [this](ExchangePtr aExchange) {
-      OnRequest(aExchange);
+  Listen();
+  controlServer_ = std::make_unique<StandInServer>(
+    aLoop.Base(), options_.controlAddress, [this](ExchangePtr aExchange) {
+      OnControl(aExchange);
     });
   aLoop.RunEvery(kReportInterval, [this] { Report(); });
   aLoop.RunEvery(kAdvanceInterval, [this] { runner_.Advance(MonotonicNow()); });
@@ -97,10 +92,55 @@
 
 RunnerStandIn::~RunnerStandIn() = default;
 
+void
+RunnerStandIn::Listen()
+{
+  server_ = std::make_unique<StandInServer>(
+    loop_.Base(), options_.listenAddress, [this](ExchangePtr aExchange) {
+      OnRequest(aExchange);
+    });
+}
+
+void
+RunnerStandIn::RecordStart(const job::RunKey& aKey)
+{
+  records_.push_back({ aKey, ToMicroseconds(MonotonicNow()) });
+  hasExceededCapacity_ |= !runner_.Capacity().Fits(runner_.Used());
+}
+
+void
+RunnerStandIn::RecordEnd(const job::RunKey& aKey)
+{
+  for (auto& record : records_) {
+    if (record.key == aKey && record.endedAtUs == 0) {
+      record.endedAtUs = ToMicroseconds(MonotonicNow());
+    }
+  }
+}
+
+void
+RunnerStandIn::CrashUnder(const job::RunKey& aKey)
+{
+  if (!server_) {
+    return;
+  }
+  for (auto& record : records_) {
+    record.crashedRunner |= record.key == aKey && record.endedAtUs == 0;
+  }
+  ++crashCount_;
+  server_.reset();
+  runner_.Crash(MonotonicNow());
+  loop_.RunAfter(kDownTime, [this] {
+    runner_.Crash(MonotonicNow());
+    Listen();
+    Report();
+  });
+}
+
 void
 RunnerStandIn::Report()
 {
-  if (mode_ == "silent") {
+  if (mode_ == "silent" || !server_) {
     return;
   }
   runner_.SetState(mode_ == "draining" ? job::RunnerState::Draining
@@ -134,23 +174,11 @@
 RunnerStandIn::OnRequest(const ExchangePtr& aExchange)
 {
   auto path = aExchange->Path();
-  if (path == "/starts") {
-    RespondWithStarts(aExchange);
-    return;
-  }
   auto body = Json::parse(aExchange->Body(), nullptr, false);
   if (!body.is_object()) {
     aExchange->Respond(kBadRequest, "{}");
     return;
   }
-  if (path == "/control") {
-    mode_ = body.at("mode");
-    if (mode_ == "crashing") {
-      runner_.Crash(MonotonicNow());
-    }
-    aExchange->Respond(kOk, "{}");
-    return;
-  }
   if (mode_ == "silent") {
     return;
   }
@@ -165,6 +193,30 @@
   }
 }
 
+void
+RunnerStandIn::OnControl(const ExchangePtr& aExchange)
+{
+  if (aExchange->Path() == "/starts") {
+    RespondWithStarts(aExchange);
+    return;
+  }
+  auto body = Json::parse(aExchange->Body(), nullptr, false);
+  if (!body.is_object()) {
+    aExchange->Respond(kBadRequest, "{}");
+    return;
+  }
+  if (body.contains("crashTask")) {
+    crashTasks_.insert(body.at("crashTask"));
+  }
+  if (body.contains("mode")) {
+    mode_ = body.at("mode");
+    if (mode_ == "crashing") {
+      runner_.Crash(MonotonicNow());
+    }
+  }
+  aExchange->Respond(kOk, "{}");
+}
+
 job::RunnerTarget
 RunnerStandIn::ParseTarget(const Json& aBody) const
 {
@@ -190,6 +242,10 @@
                                 aBody.value("deadlineMs", std::int64_t{ 0 }),
                                 {} },
                               MonotonicNow());
+  if (result == job::StartResult::Started &&
+      crashTasks_.contains(FormatTaskName(key))) {
+    loop_.RunAfter(kCrashDelay, [this, key] { CrashUnder(key); });
+  }
   if (mode_ == "ending" && result == job::StartResult::Started) {
     ::_exit(kEndedAtStart);
   }
@@ -240,9 +296,12 @@
 {
   auto now = MonotonicNow();
   if (!runner_.HasUnseenEnds(aCall) && now < aDeadline) {
-    server_->RunAfter(kAdvanceInterval, [this, aExchange, aCall, aDeadline] {
-      CompleteHold(aExchange, aCall, aDeadline);
-    });
+    auto next = [this, aExchange, aCall, aDeadline, life = crashCount_] {
+      if (life == crashCount_) {
+        CompleteHold(aExchange, aCall, aDeadline);
+      }
+    };
+    server_->RunAfter(kAdvanceInterval, next);
     return;
   }
   auto answer = runner_.Hold(aCall, now);
@@ -276,7 +335,8 @@
     rows.push_back({ { "job", record.key.job.Value() },
                      { "task", record.key.task.index },
                      { "began", record.startedAtUs },
-                     { "ended", record.endedAtUs } });
+                     { "ended", record.endedAtUs },
+                     { "crashed", record.crashedRunner } });
   }
   aExchange->Respond(
     kOk,
--- a/Tests/StandIns/RunnerStandIn.h
+++ b/Tests/StandIns/RunnerStandIn.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
 struct RunnerStandInOptions
 {
   std::string listenAddress;
+  /** "host:port" for the test, which is served even while the runner is down.
+   */
+  std::string controlAddress;
   /** "host:port" of the agent that receives the runner's reports. */
   std::string agentAddress;
   std::string id;
@@ -35,9 +39,12 @@
 
 /**
  * A runner that speaks the platform's protocol. The spec of a task is its run
- * time in milliseconds. GET /starts lists when runs started and ended, in
- * microseconds of the host's monotonic clock, and whether the capacity was ever
- * exceeded. POST /control {"mode"} sets the mode:
+ * time in milliseconds. GET /starts at the control address lists when runs
+ * started and ended, in microseconds of the host's monotonic clock, which of
+ * them crashed the runner, and whether the capacity was ever exceeded. POST
+ * /control with {"crashTask"} each start of that task crashes the runner: it
+ * ends all runs, refuses connections for kDownTime and begins a new
+ * incarnation. With {"mode"} it sets the mode:
  * - "up" is normal operation.
  * - "silent" ignores calls and sends no reports.
  * - "failing" makes all tasks fail.
@@ -50,10 +57,15 @@
 class RunnerStandIn
 {
 public:
+  static constexpr Milliseconds kDownTime{ 2000 };
+
   RunnerStandIn(service::EventLoop& aLoop, RunnerStandInOptions aOptions);
   ~RunnerStandIn();
 
-  bool IsListening() const { return server_->IsListening(); }
+  bool IsListening() const
+  {
+    return server_->IsListening() && controlServer_->IsListening();
+  }
 
 private:
   using Json = nlohmann::json;
@@ -64,7 +76,13 @@
     std::int64_t startedAtUs = 0;
     /** 0 while the task runs. */
     std::int64_t endedAtUs = 0;
+    bool crashedRunner = false;
   };
+  void Listen();
+  void RecordStart(const job::RunKey& aKey);
+  void RecordEnd(const job::RunKey& aKey);
+  void CrashUnder(const job::RunKey& aKey);
+  void OnControl(const ExchangePtr& aExchange);
 
   void Report();
   void OnRequest(const ExchangePtr& aExchange);
@@ -83,15 +101,21 @@
   /** Fields that each response to a call of the agent has. */
   Json CommonFields();
 
+  service::EventLoop& loop_;
   RunnerStandInOptions options_;
   tests::FakeRunner runner_;
+  /** Null while the runner is down after a crash. */
   std::unique_ptr<StandInServer> server_;
+  std::unique_ptr<StandInServer> controlServer_;
   std::unique_ptr<service::LoopHttpClient> client_;
   std::string mode_ = "up";
   /** Start calls received in the mode "losing". */
   std::uint64_t losingModeStarts_ = 0;
   std::map<job::RunKey, Milliseconds> runTimes_;
   std::vector<RunRecord> records_;
+  std::set<std::string> crashTasks_;
+  /** Requests that an earlier life received can't be answered. */
+  std::uint64_t crashCount_ = 0;
   bool hasExceededCapacity_ = false;
 };
 
--- a/Tests/System/PlatformDeployment.cpp
+++ b/Tests/System/PlatformDeployment.cpp
@@ -22,6 +22,7 @@
 constexpr int kRunnerPort = 8165;
 constexpr int kStorePort = 8169;
 constexpr int kRelayControlPort = 7722;
+constexpr int kRunnerControlPort = 7723;
 constexpr std::size_t kStoreHostNumber = 10;
 constexpr std::size_t kStoreRelayHostNumber = 9;
 constexpr std::size_t kFirstEntryRelayHostNumber = 41;
@@ -236,7 +237,8 @@
     Launch({ programsDirectory_ + "/Tests/StandIns/vanillaworks-standins",
              "--role=runner",
              "--listen=" + Address(host, kRunnerPort),
-             "--control=" + Address(host, kControlPort),
+             "--control=" + Address(host, kRunnerControlPort),
+             "--agent=" + Address(host, kControlPort),
              fmt::format("--id=runner-{}", aIndex),
              "--domain=" + DomainOf(aIndex) },
            fmt::format("runner-{}", aIndex));
@@ -261,7 +263,7 @@
                        { "pathPrefix", "/tally/" },
                        { "service", "tally" },
                        { "targetLatencyMs", 2000 },
-                       { "timeoutMs", 6000 },
+                       { "timeoutMs", options_.timeout.count() },
                        { "maxAttempts", 2 },
                        { "stretch", 3 } });
   }
@@ -309,12 +311,27 @@
 void
 PlatformDeployment::ControlRunner(std::size_t aIndex,
                                   const std::string& aMode) const
+{
+  PostToRunner(aIndex, { { "mode", aMode } });
+}
+
+void
+PlatformDeployment::CrashRunnersUnder(const std::string& aJob,
+                                      std::uint32_t aTask) const
+{
+  for (std::size_t i = 0; i < options_.workers; ++i) {
+    PostToRunner(i, { { "crashTask", fmt::format("{}.0.0.{}", aJob, aTask) } });
+  }
+}
+
+void
+PlatformDeployment::PostToRunner(std::size_t aIndex, const Json& aBody) const
 {
   platform::HttpClient client(kCallTimeout);
-  (void)client.Post("http://" +
-                      Address(kFirstWorkerHostNumber + aIndex, kRunnerPort) +
-                      "/control",
-                    Json{ { "mode", aMode } }.dump());
+  (void)client.Post(
+    "http://" + Address(kFirstWorkerHostNumber + aIndex, kRunnerControlPort) +
+      "/control",
+    aBody.dump());
 }
 
 CallerAnswer
@@ -443,9 +460,9 @@
   std::vector<RunRecord> records;
   for (std::size_t i = 0; i < options_.workers; ++i) {
     platform::HttpClient client(kCallTimeout);
-    auto response = ToCallerAnswer(
-      client.Get("http://" + Address(kFirstWorkerHostNumber + i, kRunnerPort) +
-                 "/starts"));
+    auto response = ToCallerAnswer(client.Get(
+      "http://" + Address(kFirstWorkerHostNumber + i, kRunnerControlPort) +
+      "/starts"));
     auto body = Json::parse(response.body, nullptr, false);
     if (!body.is_object()) {
       continue;
@@ -459,7 +476,8 @@
                           DomainOf(i),
                           row.at("began"),
                           row.at("ended"),
-                          i });
+                          i,
+                          row.at("crashed") });
     }
   }
   return records;
--- a/Tests/System/PlatformDeployment.h
+++ b/Tests/System/PlatformDeployment.h
@@ -23,6 +23,8 @@
    * store and every second entry and agent.
    */
   bool usesRelays = false;
+  /** Time that a job has where its caller names no deadline. */
+  Milliseconds timeout{ 6000 };
 };
 
 /**
@@ -39,6 +41,8 @@
   /** 0 while the task runs. */
   std::int64_t endedAt;
   std::size_t worker = 0;
+  /** The task crashed its runner. */
+  bool crashedRunner = false;
 };
 
 /** The response to a caller's request. */
@@ -121,6 +125,8 @@
   void OpenDomain(const std::string& aDomain);
   void ControlStore(const std::string& aMode) const;
   void ControlRunner(std::size_t aIndex, const std::string& aMode) const;
+  /** From now on, each runner crashes that starts the task. */
+  void CrashRunnersUnder(const std::string& aJob, std::uint32_t aTask) const;
   /**
    * Sets the mode of the relay between the agents and an entry: "pass", "cut",
    * "silence" or "one_way" (see Relay).
@@ -145,6 +151,7 @@
   std::string Address(std::size_t aNumber, int aPort) const;
   std::string WriteSettings(const std::string& aName, const Json&) const;
   void WriteOperatorRow(const Json& aRow) const;
+  void PostToRunner(std::size_t aIndex, const Json& aBody) const;
   std::string StoreAddressFor(std::size_t aIndex) const;
   void StartRelay(std::size_t aHostNumber,
                   int aPort,
--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <thread>
 
+using vanillaworks::Milliseconds;
 using namespace vanillaworks::system;
 using namespace std::chrono_literals;
 
@@ -263,6 +264,33 @@
   CHECK(CheckRuns(deployment.RunRecords()).empty());
 }
 
+TEST_CASE("a task that crashes its runners is given up", "[platform-agent]")
+{
+  constexpr Milliseconds kDeadline{ 20'000 };
+  constexpr std::ptrdiff_t kMaxCrashes = 4;
+  const auto id = PlatformDeployment::JobId(370);
+  PlatformOptions options;
+  options.timeout = kDeadline;
+  PlatformDeployment deployment(options);
+  REQUIRE(deployment.WaitUntilReady());
+  deployment.CrashRunnersUnder(id, 0);
+  auto answer = std::async(std::launch::async, [&] {
+    return deployment.Submit(0, id, 3, 100, kDeadline);
+  });
+  CHECK(CountServed(SubmitMany(deployment, 371, 8, 300)) == 8);
+  auto crashed = answer.get();
+  INFO(ToText(crashed));
+  CHECK(crashed.status == 200);
+  CHECK(crashed.body == R"({"state":"failed"})");
+  auto runs = deployment.RunRecords();
+  auto crashes = std::count_if(runs.begin(), runs.end(), [](const auto& aRun) {
+    return aRun.crashedRunner;
+  });
+  CHECK(crashes > 0);
+  CHECK(crashes <= kMaxCrashes);
+  CHECK(CheckRuns(runs).empty());
+}
+
 TEST_CASE("agents find a restarted entry although the store has long been down",
           "[platform-agent]")
 {
