Tests: Let single tasks of the soak crash their runners

A new fault submits a job of which one task does. No task may be started three times more after three runners have crashed under it. The retries of its caller count too, as they start the same task.

--- a/Tests/Soak/InvariantChecks.cpp
+++ b/Tests/Soak/InvariantChecks.cpp
@@ -68,6 +68,44 @@
   return violations;
 }
 
+std::vector<std::string>
+CheckCrashingTasks(const std::vector<RunRecord>& aRuns)
+{
+  constexpr std::size_t kMaxCrashes = 3;
+  constexpr std::ptrdiff_t kMaxLaterStarts = 2;
+  using Task = std::pair<std::string, std::uint32_t>;
+  std::map<Task, std::vector<std::int64_t>> crashes;
+  for (const auto& run : aRuns) {
+    if (run.crashedRunner) {
+      crashes[{ run.job, run.task }].push_back(run.endedAt);
+    }
+  }
+  std::vector<std::string> violations;
+  for (auto& crashesOfTask : crashes) {
+    const auto& task = crashesOfTask.first;
+    auto& times = crashesOfTask.second;
+    if (times.size() < kMaxCrashes) {
+      continue;
+    }
+    std::sort(times.begin(), times.end());
+    auto laterStarts =
+      std::count_if(aRuns.begin(), aRuns.end(), [&](const auto& aRun) {
+        return Task(aRun.job, aRun.task) == task &&
+               aRun.startedAt > times[kMaxCrashes - 1];
+      });
+    if (laterStarts > kMaxLaterStarts) {
+      violations.push_back(
+        fmt::format("job {}: task {} was started {} times after {} runners had "
+                    "crashed under it",
+                    task.first,
+                    task.second,
+                    laterStarts,
+                    kMaxCrashes));
+    }
+  }
+  return violations;
+}
+
 std::vector<std::string>
 CheckAnswers(const std::vector<RunRecord>& aRuns,
              const std::vector<CallerRecord>& aCallers)
--- a/Tests/Soak/InvariantChecks.h
+++ b/Tests/Soak/InvariantChecks.h
@@ -45,6 +45,13 @@
 CheckNoStartIntervals(const std::vector<RunRecord>& aRuns,
                       const std::vector<NoStartInterval>& aIntervals);
 
+/**
+ * Returns a violation for each task that was started three times or more after
+ * three runners had crashed under it.
+ */
+std::vector<std::string>
+CheckCrashingTasks(const std::vector<RunRecord>& aRuns);
+
 /**
  * Returns a violation for each wrong answer: status 200 with a body that is
  * neither "completed" nor "failed", a rejection as not run of a job that has
--- a/Tests/Soak/InvariantChecksTest.cpp
+++ b/Tests/Soak/InvariantChecksTest.cpp
@@ -28,6 +28,21 @@
   CHECK(CheckAnswers({}, { MakeCaller(503, "") }).empty());
 }
 
+TEST_CASE("a task is started at most twice after it has crashed three runners")
+{
+  std::vector<RunRecord> runs;
+  for (std::int64_t i = 1; i <= 5; ++i) {
+    runs.push_back({ kJob, 0, "harbour", i * 100, i * 100 + 20, 0, true });
+    // Other tasks and runs that end otherwise don't count.
+    runs.push_back({ kJob, 1, "harbour", i * 100, i * 100 + 20 });
+  }
+  CHECK(CheckCrashingTasks(runs).empty());
+  runs.push_back({ kJob, 1, "harbour", 600, 620 });
+  CHECK(CheckCrashingTasks(runs).empty());
+  runs.push_back({ kJob, 0, "harbour", 600, 620 });
+  CHECK(CheckCrashingTasks(runs).size() == 1);
+}
+
 TEST_CASE("each kind of violation by a runner or an entry is reported")
 {
   CHECK(CheckRuns({ kEndedRun, { kJob, 0, "pier-end", 150, 300 } }).size() ==
--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -75,6 +75,7 @@
   for (const auto& violations :
        { CheckRuns(runs),
          CheckNoStartIntervals(runs, noStartIntervals_),
+         CheckCrashingTasks(runs),
          CheckAnswers(runs, callerRecords_) }) {
     violations_.insert(violations_.end(), violations.begin(), violations.end());
   }
@@ -88,12 +89,13 @@
     ReportViolation("no job was answered with status 200");
   }
   fmt::print("{} jobs, {} served, {} refused, {} graceful stops, {} losses of "
-             "an entry and an agent\n",
+             "an entry and an agent, {} crashing jobs\n",
              callerRecords_.size(),
              served,
              refused,
              gracefulStopCount_,
-             pairedLossCount_);
+             pairedLossCount_,
+             crashingJobCount_);
   return violations_;
 }
 
@@ -161,7 +163,7 @@
 void
 SoakRound::InjectFault()
 {
-  switch (PickNumber(0, 14)) {
+  switch (PickNumber(0, 15)) {
     case 0: {
       auto entry = PickEntry();
       deployment_.Entry(entry).Kill();
@@ -194,6 +196,8 @@
     case 12:
     case 13:
       return LoseEntryAndFreezeAgent();
+    case 14:
+      return SubmitCrashingJob();
     default:
       return StopEntryGracefully();
   }
@@ -262,6 +266,20 @@
   deployment_.StartEntry(entry);
 }
 
+void
+SoakRound::SubmitCrashingJob()
+{
+  constexpr std::uint64_t kFirstCrashingJob = 97ULL << 32U;
+  constexpr int kTaskMilliseconds = 300;
+  auto id = PlatformDeployment::JobId(kFirstCrashingJob + crashingJobCount_++);
+  deployment_.CrashRunnersUnder(id, 0);
+  auto entry = PickEntry();
+  callers_.emplace_back([this, entry, id] {
+    SubmitAndRecord(
+      entry, id, kTaskMilliseconds, PlatformDeployment::kCallTimeout);
+  });
+}
+
 void
 SoakRound::CloseDomainTemporarily()
 {
--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -43,6 +43,8 @@
   void InjectRunnerFault();
   void InjectStoreFault();
   void InjectNetworkFault();
+  /** Submits a job of which one task crashes each runner that starts it. */
+  void SubmitCrashingJob();
   /**
    * An entry is lost while tasks of several seconds run, and an agent freezes
    * shortly before it would have stopped its runs of them.
@@ -75,6 +77,7 @@
   std::atomic<int> gracefulStop_{ 0 };
   int gracefulStopCount_ = 0;
   std::uint64_t pairedLossCount_ = 0;
+  std::uint64_t crashingJobCount_ = 0;
   std::vector<std::thread> callers_;
   std::vector<NoStartInterval> noStartIntervals_;
   std::mutex mutex_;
