Tests: Let a runner's capacity shrink and grow while it runs

A runner's `capacity` may change while it runs (LIMIT), and the stand-in's was fixed. A test sets it; the stand-in says so with its next report. A capacity that has shrunk counts 3.5 s after that report: `contactMs` and one report. By the rule the starts count, not a task that was already at work.

A system test shrinks all runners to one task and demands that, once the time is over, no runner is given a second one.

--- a/Tests/StandIns/RunnerStandIn.cpp
+++ b/Tests/StandIns/RunnerStandIn.cpp
@@ -3,6 +3,7 @@
 #include "LibService/EventLoop.h"
 #include "LibService/LoopHttpClient.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -104,8 +105,16 @@
 void
 RunnerStandIn::RecordStart(const job::RunKey& aKey)
 {
-  records_.push_back({ aKey, ToMicroseconds(MonotonicNow()) });
-  hasExceededCapacity_ |= !runner_.Capacity().Fits(runner_.Used());
+  auto now = MonotonicNow();
+  records_.push_back({ aKey, ToMicroseconds(now) });
+  bool fits = runner_.Capacity().Fits(runner_.Used()) ||
+              std::any_of(formerCapacities_.begin(),
+                          formerCapacities_.end(),
+                          [&](const auto& aFormer) {
+                            return now < aFormer.countsUntil &&
+                                   aFormer.capacity.Fits(runner_.Used());
+                          });
+  hasExceededCapacity_ |= !fits;
 }
 
 void
@@ -137,12 +146,27 @@
   });
 }
 
+void
+RunnerStandIn::ApplyCapacity()
+{
+  auto capacity = runner_.Capacity();
+  if (capacity.cpu == options_.cpu) {
+    return;
+  }
+  if (options_.cpu < capacity.cpu) {
+    formerCapacities_.push_back({ capacity, MonotonicNow() + kRoomGrace });
+  }
+  capacity.cpu = options_.cpu;
+  runner_.SetCapacity(capacity);
+}
+
 void
 RunnerStandIn::Report()
 {
   if (mode_ == "silent" || !server_) {
     return;
   }
+  ApplyCapacity();
   runner_.SetState(mode_ == "draining" ? job::RunnerState::Draining
                                        : job::RunnerState::Ready);
   auto report = runner_.Report(MonotonicNow());
@@ -205,6 +229,7 @@
     aExchange->Respond(kBadRequest, "{}");
     return;
   }
+  options_.cpu = body.value("capacity", options_.cpu);
   if (body.contains("crashTask")) {
     crashTasks_.insert(body.at("crashTask"));
   }
--- a/Tests/StandIns/RunnerStandIn.h
+++ b/Tests/StandIns/RunnerStandIn.h
@@ -41,10 +41,12 @@
  * A runner that speaks the platform's protocol. The spec of a task is its run
  * time in milliseconds. GET /starts at the control address lists when runs
  * started and ended, in microseconds of the host's monotonic clock, which of
- * them crashed the runner, and whether the capacity was ever exceeded. POST
- * /control with {"crashTask"} each start of that task crashes the runner: it
- * ends all runs, refuses connections for kDownTime and begins a new
- * incarnation. With {"mode"} it sets the mode:
+ * them crashed the runner, and whether a start ever exceeded the capacity.
+ * POST /control with {"capacity"} changes the capacity, in thousandths of a
+ * core, with the next report; a smaller one counts kRoomGrace later. With
+ * {"crashTask"} each start of that task crashes the runner: it ends all runs,
+ * refuses connections for kDownTime and begins a new incarnation. With {"mode"}
+ * it sets the mode:
  * - "up" is normal operation.
  * - "silent" ignores calls and sends no reports.
  * - "failing" makes all tasks fail.
@@ -57,6 +59,8 @@
 class RunnerStandIn
 {
 public:
+  /** The platform's `contactMs` and one report. */
+  static constexpr Milliseconds kRoomGrace{ 3500 };
   static constexpr Milliseconds kDownTime{ 2000 };
 
   RunnerStandIn(service::EventLoop& aLoop, RunnerStandInOptions aOptions);
@@ -78,10 +82,18 @@
     std::int64_t endedAtUs = 0;
     bool crashedRunner = false;
   };
+  /** A capacity that a smaller one has replaced; it still counts until then. */
+  struct FormerCapacity
+  {
+    job::Resources capacity;
+    MonotonicTime countsUntil;
+  };
+
   void Listen();
   void RecordStart(const job::RunKey& aKey);
   void RecordEnd(const job::RunKey& aKey);
   void CrashUnder(const job::RunKey& aKey);
+  void ApplyCapacity();
   void OnControl(const ExchangePtr& aExchange);
 
   void Report();
@@ -116,6 +128,7 @@
   std::set<std::string> crashTasks_;
   /** Requests that an earlier life received can't be answered. */
   std::uint64_t crashCount_ = 0;
+  std::vector<FormerCapacity> formerCapacities_;
   bool hasExceededCapacity_ = false;
 };
 
--- a/Tests/System/PlatformDeployment.cpp
+++ b/Tests/System/PlatformDeployment.cpp
@@ -315,6 +315,12 @@
   PostToRunner(aIndex, { { "mode", aMode } });
 }
 
+void
+PlatformDeployment::SetCapacity(std::size_t aIndex, std::int64_t aCpu) const
+{
+  PostToRunner(aIndex, { { "capacity", aCpu } });
+}
+
 void
 PlatformDeployment::CrashRunnersUnder(const std::string& aJob,
                                       std::uint32_t aTask) const
--- a/Tests/System/PlatformDeployment.h
+++ b/Tests/System/PlatformDeployment.h
@@ -125,6 +125,8 @@
   void OpenDomain(const std::string& aDomain);
   void ControlStore(const std::string& aMode) const;
   void ControlRunner(std::size_t aIndex, const std::string& aMode) const;
+  /** Sets a runner's capacity in thousandths of a core, by its next report. */
+  void SetCapacity(std::size_t aIndex, std::int64_t aCpu) const;
   /** From now on, each runner crashes that starts the task. */
   void CrashRunnersUnder(const std::string& aJob, std::uint32_t aTask) const;
   /**
--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -264,6 +264,31 @@
   CHECK(CheckRuns(deployment.RunRecords()).empty());
 }
 
+TEST_CASE("tasks start within the capacity of runners that have shrunk",
+          "[platform-agent]")
+{
+  constexpr std::int64_t kOneTask = 1000;
+  const auto id = PlatformDeployment::JobId(360);
+  PlatformDeployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+  for (std::size_t i = 0; i < deployment.Options().workers; ++i) {
+    deployment.SetCapacity(i, kOneTask);
+  }
+  std::this_thread::sleep_for(
+    vanillaworks::standins::RunnerStandIn::kRoomGrace);
+  CHECK(deployment.Submit(0, id, 8, 300).status == 200);
+  auto runs = deployment.RunRecords();
+  CHECK(CheckRuns(runs).empty());
+  // Every runner works on one task of the job at a time.
+  for (const auto& one : runs) {
+    CHECK(std::none_of(runs.begin(), runs.end(), [&](const auto& aOther) {
+      return one.job == id && aOther.job == id && one.worker == aOther.worker &&
+             one.startedAt < aOther.startedAt &&
+             (one.endedAt == 0 || aOther.startedAt < one.endedAt);
+    }));
+  }
+}
+
 TEST_CASE("a task that crashes its runners is given up", "[platform-agent]")
 {
   constexpr Milliseconds kDeadline{ 20'000 };
