Tests: Shrink and grow the capacity of runners in the soak

No fault of the soak changed a runner's capacity (LIMIT). A new one sets it to one, three or eight tasks; ending all faults restores it. A runner that is given a task beyond its capacity is reported as before, with the time that a shrunk capacity still counts.

--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint64_t kCallerCount = 8;
 /** A task still runs when its caller sends its job to another entry. */
 constexpr int kLongTaskMilliseconds = 2600;
+/** Capacity of a worker in thousandths of a core. */
+constexpr std::int64_t kFullCapacity = 8000;
 /**
  * Every second caller leaves after this time, as callers with a short deadline
  * do, and sends its job to another entry.
@@ -163,7 +165,7 @@
 void
 SoakRound::InjectFault()
 {
-  switch (PickNumber(0, 15)) {
+  switch (PickNumber(0, 17)) {
     case 0: {
       auto entry = PickEntry();
       deployment_.Entry(entry).Kill();
@@ -198,6 +200,9 @@
       return LoseEntryAndFreezeAgent();
     case 14:
       return SubmitCrashingJob();
+    case 15:
+    case 16:
+      return ChangeCapacity();
     default:
       return StopEntryGracefully();
   }
@@ -280,6 +285,13 @@
   });
 }
 
+void
+SoakRound::ChangeCapacity()
+{
+  constexpr std::int64_t kCapacities[] = { 1000, 3000, kFullCapacity };
+  deployment_.SetCapacity(PickWorker(), kCapacities[PickNumber(0, 2)]);
+}
+
 void
 SoakRound::CloseDomainTemporarily()
 {
@@ -335,6 +347,7 @@
   }
   for (std::size_t i = 0; i < kWorkerCount; ++i) {
     deployment_.ControlRunner(i, "up");
+    deployment_.SetCapacity(i, kFullCapacity);
   }
 }
 
--- a/Tests/Soak/SoakRound.h
+++ b/Tests/Soak/SoakRound.h
@@ -45,6 +45,7 @@
   void InjectNetworkFault();
   /** Submits a job of which one task crashes each runner that starts it. */
   void SubmitCrashingJob();
+  void ChangeCapacity();
   /**
    * An entry is lost while tasks of several seconds run, and an agent freezes
    * shortly before it would have stopped its runs of them.
