--- a/Libraries/LibJob/RunBounds.cpp
+++ b/Libraries/LibJob/RunBounds.cpp
@@ -42,6 +42,7 @@
     std::clamp(latestEnd - kContactAge, kMinLease, bounds.entryTimeout));
   bounds.cancelLease =
     std::max(bounds.entryTimeout - kNoticeAllowance, kMinEntryTimeout);
+  bounds.grantedLease = aLongestLease;
   bounds.contactLease = latestEnd - bounds.lease / kClockDriftDivisor;
   return bounds;
 }
--- a/Libraries/LibJob/RunBounds.h
+++ b/Libraries/LibJob/RunBounds.h
@@ -17,6 +17,8 @@
   Milliseconds entryTimeout;
   /** Longest lease that the agent requests from the runner. */
   Milliseconds lease;
+  /** Longest lease that the runner grants, whatever is requested. */
+  Milliseconds grantedLease;
   /**
    * No lease is requested beyond this time after the last contact with the
    * entry of a run, by the runner's clock. It ends the run if the agent can't.
--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -179,7 +179,7 @@
   runner_->report = aReport;
   runner_->report.learnedSlowness = learnedSlowness;
   runner_->token = aToken;
-  runner_->leasesExpireAt = aNow + limits_.lease * 2;
+  runner_->leasesExpireAt = aNow + limits_.grantedLease * 2;
   pendingHolds_.clear();
   port_.SaveReport(runner_->report);
   port_.OnRunnerAdopted(aReport, aToken);
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -38,6 +38,8 @@
    * how slow the runner's clock may be (0.02: 2%).
    */
   Milliseconds lease{ 1000 };
+  /** Longest lease that the runner grants, whatever is requested. */
+  Milliseconds grantedLease{ 1000 };
   double maxClockDrift = 0.02;
   /**
    * No lease is requested beyond this time after the last contact with the
--- a/Libraries/LibJob/RunSupervisorLease.cpp
+++ b/Libraries/LibJob/RunSupervisorLease.cpp
@@ -20,9 +20,9 @@
   }
   // A call may reach the runner's next incarnation, whose clock is behind; that
   // grants the longest lease.
-  auto drift = std::chrono::duration_cast<Milliseconds>(limits_.lease *
+  auto drift = std::chrono::duration_cast<Milliseconds>(limits_.grantedLease *
                                                         limits_.maxClockDrift);
-  auto expiresAt = aNow + limits_.lease + drift + kLeaseMargin;
+  auto expiresAt = aNow + limits_.grantedLease + drift + kLeaseMargin;
   runner_->leasesExpireAt = std::max(runner_->leasesExpireAt, expiresAt);
   runner_->leaseEnd = std::max(runner_->leaseEnd, aNow + lease);
   return runner_->clock.EstimateMs(aNow) + lease.count();
--- a/Services/Agent/JobAgentSettings.cpp
+++ b/Services/Agent/JobAgentSettings.cpp
@@ -28,6 +28,7 @@
   settings.entries = EntryAddresses(aReader.GetStrings("entry_hosts"), port);
   settings.limits.entryTimeout = settings.process.bounds.entryTimeout;
   settings.limits.lease = settings.process.bounds.lease;
+  settings.limits.grantedLease = settings.process.bounds.grantedLease;
   settings.limits.contactLease = settings.process.bounds.contactLease;
   settings.limits.cancelLease = settings.process.bounds.cancelLease;
   auto issues = aReader.Finish();
--- a/Tests/LibJob/RunBoundsTest.cpp
+++ b/Tests/LibJob/RunBoundsTest.cpp
@@ -46,6 +46,7 @@
   auto bounds = RunBounds::Derive(Milliseconds(1300), Milliseconds(1000));
   CHECK(bounds.entryTimeout == Milliseconds(1000));
   CHECK(bounds.lease == Milliseconds(800));
+  CHECK(bounds.grantedLease == Milliseconds(1000));
   // A run whose entry is well never waits for the leases of others to end.
   CHECK(bounds.lease + Milliseconds(430) <= bounds.contactLease);
   CHECK(bounds.lostAgentTimeout <= Milliseconds(1330));
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -433,7 +433,9 @@
   auto& node = *entries_[static_cast<std::size_t>(aEntry)];
   auto lost = std::move(node.waiters);
   node.waiters.clear();
-  for (const auto& [waiter, id] : lost) {
+  for (const auto& item : lost) {
+    auto waiter = item.first;
+    const auto& id = item.second;
     ScheduleRetry(id);
     // The entry looks for disconnected callers every 100 ms.
     Schedule(Milliseconds(random_() % 100),
