LibJob: Name the ends of leases and runs apart

LatestEnd() of a run and the fixed abandonedEnd of one that was given up had one name but for a capital; leaseEnd stood beside leasesExpireAt. No change of behaviour.

--- a/Libraries/LibJob/Run.h
+++ b/Libraries/LibJob/Run.h
@@ -57,7 +57,7 @@
    * When the run must have ended, since its entry has given it up and its
    * caller may submit the job elsewhere; default value before that.
    */
-  MonotonicTime mustEndBy;
+  MonotonicTime abandonedEnd;
   /** The answer to a stop call is pending. */
   bool isStopPending = false;
   /** When the runner accepted the stop; default value before that. */
--- a/Libraries/LibJob/RunEvent.h
+++ b/Libraries/LibJob/RunEvent.h
@@ -26,7 +26,10 @@
   StartUnconfirmed
 };
 
-/** Whether the entry does not serve the run's job any more. Thread safe. */
+/**
+ * Whether the job may be started elsewhere soon, since its entry has given it
+ * up or can't be reached. Thread safe.
+ */
 constexpr bool
 IsAbandonment(StopReason aReason)
 {
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -152,8 +152,8 @@
     MonotonicTime nextHoldAt;
     /** When the leases of all started runs have expired. */
     MonotonicTime leasesExpireAt;
-    /** The same for a runner's clock that is exact. */
-    MonotonicTime leaseEnd;
+    /** End of the longest lease that was asked for, by an exact clock. */
+    MonotonicTime requestedLeaseEnd;
   };
   struct PendingHold
   {
@@ -243,13 +243,13 @@
   /** How long the runner may go on without this agent; may be negative. */
   Milliseconds LongestLease(MonotonicTime aNow) const;
   /** When the run must have ended unless its entry renews the contact. */
-  MonotonicTime MustEndBy(const Run& aRun) const;
+  MonotonicTime LatestEnd(const Run& aRun) const;
   /** Sets the time by which a run that its entry has given up must end. */
   void SetEndOfAbandonedRun(Run& aRun, MonotonicTime aNow) const;
   /** Whether a run that starts now would have a lease worth starting it for. */
   bool CanLease(MonotonicTime aNow) const;
   /** Whether the lease that the runner has already would end in time for it. */
-  bool MustEndAfterLease(const Run& aRun) const;
+  bool DoesLeaseEndInTime(const Run& aRun) const;
 
   bool MayStart() const;
   /**
--- a/Libraries/LibJob/RunSupervisorLease.cpp
+++ b/Libraries/LibJob/RunSupervisorLease.cpp
@@ -24,7 +24,8 @@
                                                         limits_.maxClockDrift);
   auto expiresAt = aNow + limits_.grantedLease + drift + kLeaseMargin;
   runner_->leasesExpireAt = std::max(runner_->leasesExpireAt, expiresAt);
-  runner_->leaseEnd = std::max(runner_->leaseEnd, aNow + lease);
+  runner_->requestedLeaseEnd =
+    std::max(runner_->requestedLeaseEnd, aNow + lease);
   return runner_->clock.EstimateMs(aNow) + lease.count();
 }
 
@@ -37,7 +38,7 @@
   for (const auto& [key, run] : runs_) {
     if (run.OccupiesResources()) {
       auto left =
-        std::chrono::duration_cast<Milliseconds>(MustEndBy(run) - aNow);
+        std::chrono::duration_cast<Milliseconds>(LatestEnd(run) - aNow);
       longest = std::min(longest, left);
     }
   }
@@ -45,11 +46,11 @@
 }
 
 MonotonicTime
-RunSupervisor::MustEndBy(const Run& aRun) const
+RunSupervisor::LatestEnd(const Run& aRun) const
 {
-  bool isAbandoned = aRun.mustEndBy != MonotonicTime{};
+  bool isAbandoned = aRun.abandonedEnd != MonotonicTime{};
   return isAbandoned
-           ? aRun.mustEndBy
+           ? aRun.abandonedEnd
            : sessions_.at(aRun.entry).revalidatedAt + limits_.contactLease;
 }
 
@@ -58,7 +59,7 @@
 {
   // Later contact with the entry, or with its next process, is no reason to go
   // on for longer.
-  aRun.mustEndBy = std::min(MustEndBy(aRun), aNow + limits_.cancelLease);
+  aRun.abandonedEnd = std::min(LatestEnd(aRun), aNow + limits_.cancelLease);
 }
 
 bool
@@ -68,10 +69,10 @@
 }
 
 bool
-RunSupervisor::MustEndAfterLease(const Run& aRun) const
+RunSupervisor::DoesLeaseEndInTime(const Run& aRun) const
 {
   // A lease can't be shortened, and it holds for runs that start later too.
-  return MustEndBy(aRun) >= runner_->leaseEnd;
+  return LatestEnd(aRun) >= runner_->requestedLeaseEnd;
 }
 
 }
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -264,7 +264,7 @@
       EndUnstarted(RunKey(run.key), protocol::RunOutcome::NoRoom, aNow);
       continue;
     }
-    bool hasRoom = canStart && MustEndAfterLease(run) && free.Fits(run.demand);
+    bool hasRoom = canStart && DoesLeaseEndInTime(run) && free.Fits(run.demand);
     bool mustBeApart =
       (isRunnerSuspect && taken > 0) || (run.isSuspect && hasSuspectRun);
     bool mustWait = !hasRoom || mustBeApart;
