LibJob: Record a loss once that one message names twice

An agent remembers losses for entries that link later; a runner that is silent twice in one life with the same task stands there twice. LostRunnerCounts recorded both, and forgetting the second one threw, which would end the entry's process a minute later.

--- a/Libraries/LibJob/LostRunnerCounts.cpp
+++ b/Libraries/LibJob/LostRunnerCounts.cpp
@@ -43,7 +43,10 @@
   std::vector<Record*> toBlame;
   for (const auto& task : aTasks) {
     auto& record = RecordOf(task);
-    record.runners.insert(aRunner);
+    if (!record.runners.insert(aRunner).second) {
+      // The message names the loss more than once.
+      continue;
+    }
     losses_.push_back({ task, aRunner, aNow });
     if (record.blames == mostBlames) {
       toBlame.push_back(&record);
--- a/Tests/LibJob/LostRunnerCountsTest.cpp
+++ b/Tests/LibJob/LostRunnerCountsTest.cpp
@@ -80,3 +80,11 @@
   counts.OnTick(kNow + std::chrono::seconds(60));
   CHECK_FALSE(counts.IsSuspect(kBad, 0));
 }
+
+TEST_CASE("a loss that one message names twice is forgotten once")
+{
+  LostRunnerCounts counts;
+  Lose(counts, 1, { kBad, kBad });
+  counts.OnTick(kNow + std::chrono::seconds(60));
+  CHECK_FALSE(counts.IsSuspect(kBad, 0));
+}
