LibJob: Log what a rejection rests on, and runs that nobody awaits

An order that an agent didn't take on because another entry's run of the task is active, and a run that an entry asked for in vain, left no line at the agent. A run that the runner lists and nobody awaits left none at all. E706 has the first two now, with evidence of their own; E710 and vanillaworks_unexpected_runs_total tell of the third; E701 and E702 say how many runs were ordered. No decision changes.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -42,6 +42,7 @@
   X(706, RunEnded, "a run ended at the runner")                                \
   X(707, CallerGone, "a caller disconnected before its response was sent")     \
   X(708, StartUnanswered, "a start call got no answer: the task may have run") \
-  X(709, TaskReleased, "a run of a lost agent counts as over")
+  X(709, TaskReleased, "a run of a lost agent counts as over")                 \
+  X(710, UnexpectedRun, "the runner lists a run that its agent does not await")
 
 #endif
--- a/Libraries/LibJob/Job.h
+++ b/Libraries/LibJob/Job.h
@@ -67,6 +67,8 @@
   std::size_t doneTasks = 0;
   /** Number of tasks in state Ordered or Unknown. */
   std::size_t outstanding = 0;
+  /** Runs that were ordered so far. */
+  std::uint32_t orders = 0;
   /** A task has run or may have run. */
   bool hasStarted = false;
   /**
--- a/Libraries/LibJob/JobAnswer.h
+++ b/Libraries/LibJob/JobAnswer.h
@@ -60,6 +60,8 @@
   JobReason reason = JobReason::None;
   /** For Rejected: when capacity is expected to be available; 0 if unknown. */
   Milliseconds retryAfter{ 0 };
+  /** How many runs of the job this entry has ordered. For logs only. */
+  std::uint32_t orders = 0;
 };
 
 }
--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -392,6 +392,7 @@
 void
 JobDispatcher::Finish(Job& aJob, JobAnswer aAnswer, MonotonicTime aNow)
 {
+  aAnswer.orders = aJob.orders;
   if (aJob.waiter) {
     port_.Answer(*aJob.waiter, aJob.request, aAnswer);
   }
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -172,6 +172,7 @@
       protocol::RunTask task{ index, aJob.tasks[index].run };
       view.Outstanding()[request.id].insert(task);
       order.tasks.push_back(task);
+      ++aJob.orders;
       if (lostRunners_.IsSuspect(request.id, index)) {
         order.suspects.push_back(index);
       }
--- a/Libraries/LibJob/RunEvent.h
+++ b/Libraries/LibJob/RunEvent.h
@@ -68,13 +68,20 @@
   /** The runner was silent until the run's lease had expired. */
   RunnerSilent,
   /** The lease had expired before this agent asked, as after a pause. */
-  LeaseExpired
+  LeaseExpired,
+  /** Not taken on: a run of the task for another order has not ended yet. */
+  OtherRunActive,
+  /** The entry asked for a run whose order never came to this agent. */
+  NeverOrdered,
+  /** The entry asked for a run that this agent may have forgotten. */
+  Forgotten
 };
 
-inline constexpr std::array<std::string_view, 11> kEndEvidenceNames{
-  "not_called",     "start_refused", "listed_done",  "listed_failed",
-  "listed_stopped", "listed_lapsed", "not_listed",   "runner_lost",
-  "runner_left",    "runner_silent", "lease_expired"
+inline constexpr std::array<std::string_view, 14> kEndEvidenceNames{
+  "not_called",     "start_refused", "listed_done",   "listed_failed",
+  "listed_stopped", "listed_lapsed", "not_listed",    "runner_lost",
+  "runner_left",    "runner_silent", "lease_expired", "other_run_active",
+  "never_ordered",  "forgotten"
 };
 
 /** The evidence's text in logs and metrics. Thread safe. */
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -231,6 +231,8 @@
   void ReconcileRuns(const HoldAnswer& aAnswer,
                      const PendingHold& aHold,
                      MonotonicTime aNow);
+  /** Whether some entry was told lately that the run never started. */
+  bool WasReportedAsNeverStarted(const RunKey& aKey) const;
   void UpdateProgress(Run& aRun, int aPercent, MonotonicTime aNow);
   void CallHoldIfNeeded(MonotonicTime aNow);
   void CallHold(MonotonicTime aNow);
@@ -267,10 +269,15 @@
   /** Whether some run of the task is queued or active here. */
   bool HasRunOfTask(const RunKey& aKey) const;
   bool IsRevalidated(const EntryId& aEntry, MonotonicTime aNow) const;
-  /** What became of a run that the entry awaits and that isn't here. */
-  protocol::RunEnd EndOfUnknownRun(const EntryId& aEntry,
-                                   const RunKey& aKey,
-                                   MonotonicTime aNow) const;
+  /** Reports what became of a run that the entry awaits and that isn't here. */
+  void ReportUnknownRun(const EntryId& aEntry,
+                        const RunKey& aKey,
+                        MonotonicTime aNow);
+  /** Reports the outcome of an order for which there is no run here. */
+  void ReportWithoutRun(const EntryId& aEntry,
+                        const RunKey& aKey,
+                        protocol::RunOutcome aOutcome,
+                        EndEvidence aEvidence);
   /** Number of runs that occupy resources or may do so: all but queued ones. */
   std::size_t CountOccupyingRuns() const
   {
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -160,6 +160,9 @@
     foreignRuns_.erase(row.key);
     auto found = runs_.find(row.key);
     if (found == runs_.end() || !found->second.OccupiesResources()) {
+      if (WasReportedAsNeverStarted(row.key)) {
+        port_.OnUnexpectedRun(row.key);
+      }
       continue;
     }
     auto stopOutcome = found->second.StopOutcome();
@@ -186,6 +189,17 @@
   }
 }
 
+bool
+RunSupervisor::WasReportedAsNeverStarted(const RunKey& aKey) const
+{
+  return std::any_of(
+    sessions_.begin(), sessions_.end(), [this, &aKey](const auto& aSession) {
+      auto ended = recentEnds_.find({ aSession.first, aKey });
+      return ended != recentEnds_.end() &&
+             protocol::NeverStarted(ended->second.end.outcome);
+    });
+}
+
 void
 RunSupervisor::ReconcileRuns(const HoldAnswer& aAnswer,
                              const PendingHold& aHold,
@@ -197,6 +211,7 @@
     auto found = runs_.find(row.key);
     if (found == runs_.end() || !found->second.OccupiesResources()) {
       if (foreignRuns_.insert(row.key).second) {
+        port_.OnUnexpectedRun(row.key);
         CallForeignStop(row.key);
       }
       continue;
--- a/Libraries/LibJob/RunSupervisorPort.h
+++ b/Libraries/LibJob/RunSupervisorPort.h
@@ -27,6 +27,8 @@
                            protocol::Message aMessage) = 0;
   /** For logs and metrics only. */
   virtual void OnRunEnded(const RunEnded& aEvent) = 0;
+  /** For logs and metrics only: the runner lists a run that is not awaited. */
+  virtual void OnUnexpectedRun(const RunKey& aRun) = 0;
   /** Saves the report for later processes of the agent; best effort. */
   virtual void SaveReport(const RunnerReport& aReport) = 0;
   /** For logs only: this incarnation of the runner is served from now on. */
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -59,8 +59,7 @@
     if (runs_.contains(key)) {
       continue;
     }
-    reports_[{ aResume.entry, key.job }].push_back(
-      EndOfUnknownRun(aResume.entry, key, aNow));
+    ReportUnknownRun(aResume.entry, key, aNow);
   }
   // The frames that follow renew the contact. These runs must end by the
   // contact before, since their caller may have gone at any time since.
@@ -85,14 +84,15 @@
   port_.SendToEntry(aEntry, std::move(message));
 }
 
-protocol::RunEnd
-RunSupervisor::EndOfUnknownRun(const EntryId& aEntry,
-                               const RunKey& aKey,
-                               MonotonicTime aNow) const
+void
+RunSupervisor::ReportUnknownRun(const EntryId& aEntry,
+                                const RunKey& aKey,
+                                MonotonicTime aNow)
 {
   auto ended = recentEnds_.find({ aEntry, aKey });
   if (ended != recentEnds_.end()) {
-    return ended->second.end;
+    reports_[{ aEntry, aKey.job }].push_back(ended->second.end);
+    return;
   }
   // The entry has handled every end that was sent before the last contact.
   auto session = sessions_.find(aEntry);
@@ -100,10 +100,27 @@
     session == sessions_.end() ||
     aNow - session->second.revalidatedAt >= limits_.endRetention;
   if (mayBeForgotten) {
-    return { aKey.task, protocol::RunOutcome::Stopped, 0 };
+    ReportWithoutRun(
+      aEntry, aKey, protocol::RunOutcome::Stopped, EndEvidence::Forgotten);
+    return;
   }
   // The order never arrived; it was lost with the old link.
-  return { aKey.task, protocol::RunOutcome::NotRevalidated, 0 };
+  ReportWithoutRun(aEntry,
+                   aKey,
+                   protocol::RunOutcome::NotRevalidated,
+                   EndEvidence::NeverOrdered);
+}
+
+void
+RunSupervisor::ReportWithoutRun(const EntryId& aEntry,
+                                const RunKey& aKey,
+                                protocol::RunOutcome aOutcome,
+                                EndEvidence aEvidence)
+{
+  protocol::RunEnd end{ aKey.task, aOutcome, 0 };
+  reports_[{ aEntry, aKey.job }].push_back(end);
+  port_.OnRunEnded(
+    { aEntry, aKey.job, end, aEvidence, StopReason::None, {}, {} });
 }
 
 void
@@ -120,8 +137,8 @@
     if (HasRunOfTask(key)) {
       // The same job was submitted to two entries, and the run of the first one
       // has not ended yet.
-      reports_[{ aEntry, key.job }].push_back(
-        { task, protocol::RunOutcome::NoRoom, 0 });
+      ReportWithoutRun(
+        aEntry, key, protocol::RunOutcome::NoRoom, EndEvidence::OtherRunActive);
       continue;
     }
     Run run;
--- a/Libraries/LibService/MetricsCatalogue.h
+++ b/Libraries/LibService/MetricsCatalogue.h
@@ -21,6 +21,8 @@
   { "vanillaworks_starts_total", "tasks sent to an agent or upstream" },
   { "vanillaworks_unanswered_starts_total",
     "start calls to the runner without an answer" },
+  { "vanillaworks_unexpected_runs_total",
+    "Runs that a runner listed and its agent did not await" },
   { "vanillaworks_lost_runs_total",
     "runs that ended before they were done, by how the agent knows" },
   { "vanillaworks_tasks_released_total",
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -275,6 +275,16 @@
       { "since_contact_ms", std::to_string(aEvent.sinceContact.count()) } });
 }
 
+void
+JobAgent::OnUnexpectedRun(const job::RunKey& aRun)
+{
+  metrics_.Counter("vanillaworks_unexpected_runs_total").Increment();
+  Log::Write(Event::UnexpectedRun,
+             { { "job", aRun.job.Value() },
+               { "task", std::to_string(aRun.task.index) },
+               { "run", std::to_string(aRun.task.run) } });
+}
+
 void
 JobAgent::SaveReport(const job::RunnerReport& aReport)
 {
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -51,6 +51,7 @@
   void CallHold(std::uint64_t aNumber, const job::HoldCall& aCall) override;
   void SendToEntry(const EntryId& aEntry, protocol::Message aMessage) override;
   void OnRunEnded(const job::RunEnded& aEvent) override;
+  void OnUnexpectedRun(const job::RunKey& aRun) override;
   void SaveReport(const job::RunnerReport& aReport) override;
   void OnRunnerAdopted(const job::RunnerReport& aReport,
                        std::uint64_t aToken) override;
--- a/Services/Entry/JobObserver.cpp
+++ b/Services/Entry/JobObserver.cpp
@@ -94,6 +94,7 @@
                { "elapsed_ms", ToText(aElapsed) },
                { "goal_ms", ToText(goal) },
                { "tasks", ToText(std::int64_t{ aJob.tasks }) },
+               { "orders", ToText(std::int64_t{ aAnswer.orders }) },
                { "estimate_ms", ToText(aJob.estimate) } });
 }
 
--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -19,6 +19,7 @@
   void CallHold(std::uint64_t, const job::HoldCall&) override {}
   void SendToEntry(const EntryId&, protocol::Message) override {}
   void OnRunEnded(const job::RunEnded&) override {}
+  void OnUnexpectedRun(const job::RunKey&) override {}
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
 };
--- a/Tests/LibJob/RunEvidenceTest.cpp
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -102,3 +102,60 @@
     CHECK(run.events[0].end.outcome == protocol::RunOutcome::RunnerLost);
   }
 }
+
+TEST_CASE("a run that the agent doesn't await is told apart in the log")
+{
+  Fixture fixture;
+  SECTION("left behind by a former process of the agent")
+  {
+    fixture.supervisor.OnRunnerReport(fixture.Report(), fixture.now);
+    fixture.AnswerHold(fixture.Answer({ { fixture.Key(7), 10 } }));
+    CHECK(fixture.unexpectedRuns == std::vector{ fixture.Key(7) });
+  }
+  SECTION("ended although its entry was told that it never started")
+  {
+    fixture.Adopt();
+    fixture.Order(1);
+    fixture.supervisor.OnStartAnswered(
+      fixture.Key(0), fixture.token, StartResult::NoRoom, fixture.now);
+    fixture.OrderFor(SubmissionId("00000000000000bb"), 1, 500, 0);
+    fixture.AnswerHold(
+      fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Done } }));
+    CHECK(fixture.unexpectedRuns == std::vector{ fixture.Key(0) });
+  }
+}
+
+TEST_CASE("an order that has no run at the agent is logged with the reason")
+{
+  ActiveRun run;
+  EntryId other("entry-2");
+  SECTION("a run of the task for another entry is active")
+  {
+    run.supervisor.OnResume({ other, Incarnation(2), {} }, run.now);
+    protocol::RunOrder order;
+    order.job = kJob;
+    order.tasks = { { 0, 1 } };
+    run.supervisor.OnOrder(other, order, run.now);
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].entry == other);
+    CHECK(run.events[0].evidence == EndEvidence::OtherRunActive);
+  }
+  SECTION("it never came")
+  {
+    run.supervisor.OnResume(
+      { kEntry, Incarnation(1), { { kJob, { { 0, 1 }, { 5, 1 } }, {} } } },
+      run.now);
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].end.task.index == 5);
+    CHECK(run.events[0].evidence == EndEvidence::NeverOrdered);
+  }
+  SECTION("the agent may have forgotten its end")
+  {
+    run.AdvanceTime(RunSupervisorLimits{}.endRetention);
+    run.supervisor.OnResume(
+      { kEntry, Incarnation(1), { { kJob, { { 0, 1 }, { 5, 1 } }, {} } } },
+      run.now);
+    REQUIRE(run.events.size() == 1);
+    CHECK(run.events[0].evidence == EndEvidence::Forgotten);
+  }
+}
--- a/Tests/LibJob/RunSupervisorFixture.h
+++ b/Tests/LibJob/RunSupervisorFixture.h
@@ -43,6 +43,10 @@
   {
     events.push_back(aEvent);
   }
+  void OnUnexpectedRun(const job::RunKey& aRun) override
+  {
+    unexpectedRuns.push_back(aRun);
+  }
   void SaveReport(const job::RunnerReport& aReport) override
   {
     saved.push_back(aReport);
@@ -131,6 +135,7 @@
   std::vector<std::pair<std::uint64_t, job::HoldCall>> holds;
   std::vector<protocol::RunOutcome> ends;
   std::vector<job::RunEnded> events;
+  std::vector<job::RunKey> unexpectedRuns;
   job::ControlView control;
   job::RunSupervisor supervisor{ UpstreamId("u1"),
                                  Incarnation(1),
--- a/Tests/LibJob/RunnerRoomHistoryTest.cpp
+++ b/Tests/LibJob/RunnerRoomHistoryTest.cpp
@@ -72,6 +72,7 @@
   }
   void SendToEntry(const EntryId&, protocol::Message) override {}
   void OnRunEnded(const RunEnded&) override {}
+  void OnUnexpectedRun(const RunKey&) override {}
   void SaveReport(const RunnerReport& aReport) override
   {
     stored_ = aReport;
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -225,6 +225,7 @@
     cluster.ToEntry(index, entry, std::move(aMessage));
   }
   void OnRunEnded(const job::RunEnded&) override {}
+  void OnUnexpectedRun(const job::RunKey&) override {}
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
 
