LibJob: Don't tell a second entry that a task didn't start while it runs

A caller without an answer sends its job to a second entry. If that entry's order met a run of the same task for the first one, the agent answered no_room, which counts as never started: the second entry could reject the job with "mayHaveRun": false while it ran, or place the task on another worker at once and run it twice.

Change: such an order waits at the agent until the other run has ended, or until its entry gives it up, and then ends as OtherRunActive, which counts as may have run. An order of a second entry no longer returns the first one's queued run.

--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -17,11 +17,13 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace vanillaworks::job {
 
@@ -170,6 +172,14 @@
     MonotonicTime revalidatedAt;
     std::uint64_t ordersSeen = 0;
   };
+  /** An order whose task has a run for another entry. */
+  struct BlockedOrder
+  {
+    EntryId entry;
+    RunKey key;
+
+    friend bool operator==(const BlockedOrder&, const BlockedOrder&) = default;
+  };
   struct RecentEnd
   {
     protocol::RunEnd end;
@@ -269,6 +279,14 @@
   /** Whether some run of the task is queued or active here. */
   bool HasRunOfTask(const RunKey& aKey) const;
   bool IsRevalidated(const EntryId& aEntry, MonotonicTime aNow) const;
+  /** Whether a run or a blocked order of this entry is here. */
+  bool IsTracked(const EntryId& aEntry, const RunKey& aKey) const;
+  /**
+   * Returns the blocked orders for which aIsDue holds to their entries, which
+   * then know that the job has started.
+   */
+  void ReleaseBlockedOrders(
+    const std::function<bool(const BlockedOrder&)>& aIsDue);
   /** Reports what became of a run that the entry awaits and that isn't here. */
   void ReportUnknownRun(const EntryId& aEntry,
                         const RunKey& aKey,
@@ -300,7 +318,9 @@
    * Returns the queued runs of the order that can't be expected to start in
    * time, so that the entry can place them elsewhere while there is time.
    */
-  void ReturnUnstarted(const protocol::RunOrder& aOrder, MonotonicTime aNow);
+  void ReturnUnstarted(const EntryId& aEntry,
+                       const protocol::RunOrder& aOrder,
+                       MonotonicTime aNow);
   void ReturnQueue(protocol::RunOutcome aWhy, MonotonicTime aNow);
   void Stop(Run& aRun, StopReason aReason, MonotonicTime aNow);
   void CallStop(Run& aRun);
@@ -363,6 +383,8 @@
   std::set<RunKey> foreignRuns_;
   std::map<RunKey, Run> runs_;
   std::set<QueueKey> queue_;
+  /** Orders that wait for the end of another entry's run of their task. */
+  std::vector<BlockedOrder> blockedOrders_;
   std::uint64_t nextArrival_ = 0;
   std::map<EntryId, EntrySession> sessions_;
   /** For entries that connect later. */
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -45,6 +45,9 @@
       }
     }
   }
+  std::erase_if(blockedOrders_, [&](const BlockedOrder& aOrder) {
+    return aOrder.entry == aResume.entry && !awaited.contains(aOrder.key);
+  });
   std::vector<RunKey> notAwaited;
   for (const auto& [key, run] : runs_) {
     if (run.entry == aResume.entry && !awaited.contains(key)) {
@@ -56,10 +59,9 @@
   }
   SendRecentLosses(aResume.entry);
   for (const auto& key : awaited) {
-    if (runs_.contains(key)) {
-      continue;
+    if (!IsTracked(aResume.entry, key)) {
+      ReportUnknownRun(aResume.entry, key, aNow);
     }
-    ReportUnknownRun(aResume.entry, key, aNow);
   }
   // The frames that follow renew the contact. These runs must end by the
   // contact before, since their caller may have gone at any time since.
@@ -84,6 +86,18 @@
   port_.SendToEntry(aEntry, std::move(message));
 }
 
+bool
+RunSupervisor::IsTracked(const EntryId& aEntry, const RunKey& aKey) const
+{
+  auto run = runs_.find(aKey);
+  if (run != runs_.end() && run->second.entry == aEntry) {
+    return true;
+  }
+  BlockedOrder blocked{ aEntry, aKey };
+  return std::find(blockedOrders_.begin(), blockedOrders_.end(), blocked) !=
+         blockedOrders_.end();
+}
+
 void
 RunSupervisor::ReportUnknownRun(const EntryId& aEntry,
                                 const RunKey& aKey,
@@ -137,8 +151,7 @@
     if (HasRunOfTask(key)) {
       // The same job was submitted to two entries, and the run of the first one
       // has not ended yet.
-      ReportWithoutRun(
-        aEntry, key, protocol::RunOutcome::NoRoom, EndEvidence::OtherRunActive);
+      blockedOrders_.push_back({ aEntry, key });
       continue;
     }
     Run run;
@@ -161,19 +174,37 @@
   }
   ++statusRevision_;
   StartQueuedRuns(aNow);
-  ReturnUnstarted(aOrder, aNow);
+  ReturnUnstarted(aEntry, aOrder, aNow);
   CallHoldIfNeeded(aNow);
   FlushReports();
 }
 
 void
-RunSupervisor::ReturnUnstarted(const protocol::RunOrder& aOrder,
+RunSupervisor::ReleaseBlockedOrders(
+  const std::function<bool(const BlockedOrder&)>& aIsDue)
+{
+  auto due = std::stable_partition(
+    blockedOrders_.begin(), blockedOrders_.end(), std::not_fn(aIsDue));
+  for (auto order = due; order != blockedOrders_.end(); ++order) {
+    ReportWithoutRun(order->entry,
+                     order->key,
+                     protocol::RunOutcome::OtherRunActive,
+                     EndEvidence::OtherRunActive);
+  }
+  blockedOrders_.erase(due, blockedOrders_.end());
+}
+
+void
+RunSupervisor::ReturnUnstarted(const EntryId& aEntry,
+                               const protocol::RunOrder& aOrder,
                                MonotonicTime aNow)
 {
   auto maxDelay = Milliseconds(aOrder.startWithinMs) * kMaxQueueShare;
   for (const auto& task : aOrder.tasks) {
     auto found = runs_.find({ aOrder.job, task });
-    if (found == runs_.end() || found->second.OccupiesResources()) {
+    bool isWaiting = found != runs_.end() && found->second.entry == aEntry &&
+                     !found->second.OccupiesResources();
+    if (!isWaiting) {
       continue;
     }
     bool mayQueue = aOrder.startWithinMs > 0 &&
@@ -199,6 +230,9 @@
                         MonotonicTime aNow)
 {
   for (const auto& task : aCancel.tasks) {
+    BlockedOrder blocked{ aEntry, { aCancel.job, task } };
+    ReleaseBlockedOrders(
+      [&blocked](const BlockedOrder& aOrder) { return aOrder == blocked; });
     auto found = runs_.find({ aCancel.job, task });
     if (found == runs_.end() || found->second.entry != aEntry) {
       continue;
--- a/Libraries/LibProtocol/RunOutcome.h
+++ b/Libraries/LibProtocol/RunOutcome.h
@@ -36,13 +36,16 @@
    * The start call got no answer and the worker does not list the run. The call
    * may still be carried out, by a later incarnation of the worker at least.
    */
-  Unconfirmed
+  Unconfirmed,
+  /** Not taken on while a run of the task for another entry was active. */
+  OtherRunActive
 };
 
-inline constexpr std::array<std::string_view, 15> kRunOutcomeNames{
-  "runs",    "done",      "failed",  "stopped",     "stuck",
-  "expired", "closed",    "leaving", "no_room",     "not_vouched",
-  "refused", "cancelled", "old_run", "runner_lost", "unconfirmed"
+inline constexpr std::array<std::string_view, 16> kRunOutcomeNames{
+  "runs",    "done",        "failed",      "stopped",
+  "stuck",   "expired",     "closed",      "leaving",
+  "no_room", "not_vouched", "refused",     "cancelled",
+  "old_run", "runner_lost", "unconfirmed", "other_run_active"
 };
 
 /** The outcome's text in logs and metrics. Thread safe. */
--- a/Tests/LibJob/RefusedJobTest.cpp
+++ b/Tests/LibJob/RefusedJobTest.cpp
@@ -1,3 +1,4 @@
+#include "Tests/LibJob/RunSupervisorFixture.h"
 #include "Tests/LibJob/SimulatedJobCluster.h"
 
 #include <algorithm>
@@ -5,6 +6,9 @@
 
 using namespace vanillaworks;
 using namespace vanillaworks::tests;
+using job::EndKind;
+using job::StartResult;
+using protocol::RunOutcome;
 
 namespace {
 std::vector<std::string>
@@ -52,3 +56,76 @@
     PlayLateStartsAndCrashes(3, seed);
   }
 }
+
+namespace {
+const EntryId kSecondEntry("entry-2");
+
+/** Two entries have ordered the same task; the first one's run is active. */
+struct TaskOfTwoEntries : RunSupervisorFixture
+{
+  TaskOfTwoEntries()
+  {
+    Adopt();
+    Order(1);
+    supervisor.OnStartAnswered(Key(0), token, StartResult::Started, now);
+    AdvanceTime(Milliseconds(10));
+    Link({});
+    protocol::RunOrder order;
+    order.job = kJob;
+    order.tasks = { { 0, 1 } };
+    supervisor.OnOrder(kSecondEntry, order, now);
+  }
+  void Link(std::vector<protocol::RunCancel> aAwaited)
+  {
+    supervisor.OnResume({ kSecondEntry, Incarnation(2), std::move(aAwaited) },
+                        now);
+    supervisor.OnRevalidated(kSecondEntry, now);
+  }
+  std::vector<RunOutcome> EndsFor(const EntryId& aEntry) const
+  {
+    std::vector<RunOutcome> found;
+    for (const auto& event : events) {
+      if (event.entry == aEntry) {
+        found.push_back(event.end.outcome);
+      }
+    }
+    return found;
+  }
+};
+}
+
+TEST_CASE("a second entry isn't told that a task didn't start while it runs")
+{
+  TaskOfTwoEntries fixture;
+  SECTION("it waits until the first entry's run has ended")
+  {
+    CHECK(fixture.EndsFor(kSecondEntry).empty());
+    fixture.AnswerHold(
+      fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Stopped } }));
+  }
+  SECTION("it cancels its order")
+  {
+    fixture.supervisor.OnCancel(
+      kSecondEntry,
+      { kJob, { { 0, 1 } }, protocol::CancelScope::All },
+      fixture.now);
+  }
+  SECTION("its link opens again")
+  {
+    fixture.Link({ { kJob, { { 0, 1 } }, {} } });
+    CHECK(fixture.EndsFor(kSecondEntry).empty());
+    fixture.AnswerHold(
+      fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Stopped } }));
+  }
+  REQUIRE(fixture.EndsFor(kSecondEntry).size() == 1);
+  CHECK_FALSE(protocol::NeverStarted(fixture.EndsFor(kSecondEntry).front()));
+}
+
+TEST_CASE("an order that a second entry gives up is forgotten")
+{
+  TaskOfTwoEntries fixture;
+  fixture.Link({});
+  fixture.AnswerHold(
+    fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Stopped } }));
+  CHECK(fixture.EndsFor(kSecondEntry).empty());
+}
--- a/Tests/LibJob/RunEvidenceTest.cpp
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -136,6 +136,8 @@
     order.job = kJob;
     order.tasks = { { 0, 1 } };
     run.supervisor.OnOrder(other, order, run.now);
+    run.supervisor.OnCancel(
+      other, { kJob, { { 0, 1 } }, protocol::CancelScope::All }, run.now);
     REQUIRE(run.events.size() == 1);
     CHECK(run.events[0].entry == other);
     CHECK(run.events[0].evidence == EndEvidence::OtherRunActive);
