LibJob: Keep the end of a run for as long after each report of it

An agent keeps the ends of runs for 6 s after the run and tells an entry that asks for another one that it never started, if there was contact within 6 s. A link that opens again renews the contact and brings the report along; if it breaks before the report has arrived, the end was forgotten 6 s after the run while the contact was young: a run that had ended as done was denied, and its job could be rejected or the task run once more.

The new test got not_vouched in place of done on the third link.

Change: each report of an end begins its retention anew, so that no end is forgotten while a contact that is younger than the report counts.

--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -54,7 +54,7 @@
   Milliseconds holdWait{ 50 };
   /** A run without progress for this time counts as stuck. */
   Milliseconds stuckTimeout{ 200 };
-  /** How long reported ends are kept for an entry whose link was lost. */
+  /** How long an end is kept after each report of it to its entry. */
   Milliseconds endRetention{ 6000 };
   /**
    * Nothing is started by a report of the runner that is older than this, since
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -105,6 +105,8 @@
 {
   auto ended = recentEnds_.find({ aEntry, aKey });
   if (ended != recentEnds_.end()) {
+    // The new link renews the contact, but may break before this arrives.
+    ended->second.expires = aNow + limits_.endRetention;
     reports_[{ aEntry, aKey.job }].push_back(ended->second.end);
     return;
   }
--- a/Tests/LibJob/RefusedJobTest.cpp
+++ b/Tests/LibJob/RefusedJobTest.cpp
@@ -129,3 +129,24 @@
     fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Stopped } }));
   CHECK(fixture.EndsFor(kSecondEntry).empty());
 }
+
+TEST_CASE("a run that ended isn't denied after its report is lost twice")
+{
+  RunSupervisorFixture fixture;
+  fixture.Adopt();
+  fixture.Order(1);
+  fixture.supervisor.OnStartAnswered(
+    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.AnswerHold(
+    fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Done } }));
+  // Each link breaks again before it has brought the report to the entry.
+  for (int link = 0; link < 3; ++link) {
+    fixture.AdvanceTime(Milliseconds(2500));
+    fixture.supervisor.OnTick(fixture.now);
+    fixture.ends.clear();
+    fixture.supervisor.OnResume(
+      { kEntry, Incarnation(1), { { kJob, { { 0, 1 } }, {} } } }, fixture.now);
+    fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+    CHECK(fixture.ends == std::vector{ RunOutcome::Done });
+  }
+}
