LibJob: Remember that a job has started when its caller tries again

A caller whose first attempt got no answer, or 504, may reach the same entry again. The entry had erased the job, and with it that tasks of it had run: the second attempt was rejected with "mayHaveRun": false. A stopping entry said so even of a job that it was serving at that moment.

"a job that ran for an earlier attempt isn't rejected as not run" got a rejection before.

Such a job is placed, or answered 504, never 503.

--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -49,10 +49,11 @@
     return;
   }
   if (jobs_.size() >= limits_.maxJobs) {
-    port_.Answer(
-      aWaiter,
-      aRequest,
-      { JobState::Rejected, JobReason::TooLate, placement_.RetryAfter() });
+    auto state =
+      MayHaveStarted(aRequest.id) ? JobState::GivenUp : JobState::Rejected;
+    port_.Answer(aWaiter,
+                 aRequest,
+                 { state, JobReason::TooLate, placement_.RetryAfter() });
     return;
   }
   auto id = aRequest.id;
@@ -60,6 +61,7 @@
   job.tasks.resize(aRequest.tasks);
   job.request = std::move(aRequest);
   job.waiter = aWaiter;
+  job.hasStarted = startedJobs_.Contains(id);
   auto& added = jobs_.emplace(id, std::move(job)).first->second;
   Advance(added, aNow);
 }
@@ -145,6 +147,14 @@
   return found != jobs_.end() && found->second.intent != JobIntent::Abandon;
 }
 
+bool
+JobDispatcher::MayHaveStarted(const SubmissionId& aJob) const
+{
+  auto found = jobs_.find(aJob);
+  bool isOutstanding = found != jobs_.end() && found->second.outstanding != 0;
+  return isOutstanding || startedJobs_.Contains(aJob);
+}
+
 std::size_t
 JobDispatcher::Pending(const std::string& aRouteName) const
 {
@@ -314,7 +324,7 @@
     return;
   }
   if (aEnd.outcome == RunOutcome::StillRunning) {
-    aJob.hasStarted = true;
+    MarkStarted(aJob, aNow);
     return;
   }
   auto since = aNow - task.placedAt;
@@ -332,7 +342,7 @@
     drainRate_.OnEnded(aNow);
   }
   if (!NeverStarted(aEnd.outcome)) {
-    aJob.hasStarted = true;
+    MarkStarted(aJob, aNow);
   }
   switch (aEnd.outcome) {
     case RunOutcome::Done:
@@ -363,6 +373,15 @@
   }
 }
 
+void
+JobDispatcher::MarkStarted(Job& aJob, MonotonicTime aNow)
+{
+  if (!aJob.hasStarted) {
+    aJob.hasStarted = true;
+    startedJobs_.Add(aJob.request.id, aNow);
+  }
+}
+
 void
 JobDispatcher::ReleaseTask(Job& aJob, JobTask& aTask)
 {
@@ -428,7 +447,7 @@
                        task.upstream,
                        std::chrono::duration_cast<Milliseconds>(sinceLoss) });
     ReleaseTask(aJob, task);
-    aJob.hasStarted = true;
+    MarkStarted(aJob, aNow);
   }
 }
 
--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -9,6 +9,7 @@
 #include "LibJob/JobDispatcherPort.h"
 #include "LibJob/LostRunnerCounts.h"
 #include "LibJob/Placement.h"
+#include "LibJob/StartedJobs.h"
 #include "LibJob/UpstreamView.h"
 #include "LibProtocol/RunReport.h"
 #include "LibProtocol/RunResume.h"
@@ -69,6 +70,11 @@
   bool Cancel(const SubmissionId& aJob, MonotonicTime aNow);
   /** Whether this entry currently serves the job. */
   bool IsServing(const SubmissionId& aJob) const;
+  /**
+   * Whether a task of the job has run or may have run through this entry; such
+   * a job must not be rejected.
+   */
+  bool MayHaveStarted(const SubmissionId& aJob) const;
   /** Number of accepted jobs of the route with no task ordered yet. */
   std::size_t Pending(const std::string& aRouteName) const;
 
@@ -156,6 +162,8 @@
   /** Cancels outstanding tasks; the job is kept until their end is certain. */
   void CancelOutstanding(Job& aJob, protocol::CancelScope aScope);
   void Finish(Job& aJob, JobAnswer aAnswer, MonotonicTime aNow);
+  /** Records that a task of the job has run or may have run. */
+  void MarkStarted(Job& aJob, MonotonicTime aNow);
   void ReleaseTask(Job& aJob, JobTask& aTask);
   void Erase(const SubmissionId& aJob);
   void ExpireUnknown(Job& aJob, MonotonicTime aNow);
@@ -174,6 +182,7 @@
   MonotonicTime warmUpUntil_;
   MonotonicTime lastRetryAt_;
   std::unordered_map<SubmissionId, Answered> answered_;
+  StartedJobs startedJobs_;
 };
 
 }
--- a/Tests/LibJob/JobDispatcherTest.cpp
+++ b/Tests/LibJob/JobDispatcherTest.cpp
@@ -182,6 +182,34 @@
   CHECK(fixture.port.answers.front().second.state == JobState::Completed);
 }
 
+TEST_CASE("a job that ran for an earlier attempt isn't rejected as not run")
+{
+  Fixture fixture;
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, kNow);
+  fixture.dispatcher.OnWaiterDisconnected(kJob, kFirstWaiter);
+  fixture.Report(protocol::RunOutcome::Stopped, kNow + kWork);
+  REQUIRE_FALSE(fixture.dispatcher.IsServing(kJob));
+  CHECK(fixture.dispatcher.MayHaveStarted(kJob));
+  auto later = kNow + Milliseconds(1300);
+  fixture.dispatcher.OnAgentDown(kUpstream, later);
+  fixture.dispatcher.Submit(Fixture::Request(later), kSecondWaiter, later);
+  auto atDeadline = later + kCallerTimeout;
+  fixture.dispatcher.OnTick(atDeadline);
+  REQUIRE(fixture.port.answers.size() == 1);
+  CHECK(fixture.port.answers.front().second.state == JobState::GivenUp);
+}
+
+TEST_CASE("an entry knows which jobs may have started")
+{
+  Fixture fixture;
+  CHECK_FALSE(fixture.dispatcher.MayHaveStarted(kJob));
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, kNow);
+  CHECK(fixture.dispatcher.MayHaveStarted(kJob));
+  fixture.dispatcher.OnWaiterDisconnected(kJob, kFirstWaiter);
+  fixture.Report(protocol::RunOutcome::NoRoom, kNow);
+  CHECK_FALSE(fixture.dispatcher.MayHaveStarted(kJob));
+}
+
 TEST_CASE("an entry tells that it gives up on a run of a lost agent")
 {
   Fixture fixture;
