LibJob: Answer no job as failed because its runners fell silent

Cause: a runner that is silent until its leases are over counted as crashed under the tasks at work there, and three or four such losses gave a task up as one that crashes its runners. The runners came back as they were, the runs had lapsed.

Change: losses are suspected until the agent knows. Another incarnation in the runner's place confirms them, an answer of the same one takes them back. A task that would be given up by suspected losses waits; it is given up once two of its runners are known to have crashed. An entry that learns of a loss knows that the job has started, whoever ordered it, and doesn't reject it.

--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -61,7 +61,7 @@
   job.tasks.resize(aRequest.tasks);
   job.request = std::move(aRequest);
   job.waiter = aWaiter;
-  job.hasStarted = startedJobs_.Contains(id);
+  job.hasStarted = MayHaveStarted(id);
   auto& added = jobs_.emplace(id, std::move(job)).first->second;
   Advance(added, aNow);
 }
@@ -152,7 +152,8 @@
 {
   auto found = jobs_.find(aJob);
   bool isOutstanding = found != jobs_.end() && found->second.outstanding != 0;
-  return isOutstanding || startedJobs_.Contains(aJob);
+  return isOutstanding || startedJobs_.Contains(aJob) ||
+         lostRunners_.KnowsJob(aJob);
 }
 
 std::size_t
@@ -289,6 +290,13 @@
                           MonotonicTime aNow)
 {
   lostRunners_.Add(aUpstream, aLost, aNow);
+  // The task may have been ordered by another entry.
+  for (const auto& run : aLost.runs) {
+    auto found = jobs_.find(run.job);
+    if (found != jobs_.end()) {
+      MarkStarted(found->second, aNow);
+    }
+  }
 }
 
 void
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -91,7 +91,9 @@
   bool isFullyPlaced = true;
   for (std::uint32_t i = 0; i < aJob.tasks.size(); ++i) {
     auto& task = aJob.tasks[i];
-    if (task.state != TaskState::Waiting) {
+    bool isDue = task.state == TaskState::Waiting &&
+                 !lostRunners_.IsHeld(aJob.request.id, i);
+    if (!isDue) {
       continue;
     }
     auto urgency = aJob.isLate ? Urgency::BeforeDeadline : Urgency::InTime;
--- a/Libraries/LibJob/LostRunnerCounts.cpp
+++ b/Libraries/LibJob/LostRunnerCounts.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxBlames = 3;
 /** Losses after which a task is given up whatever was beside it. */
 constexpr std::size_t kMaxLostRunners = 4;
+/** Of these losses, so many must be known to be crashes. */
+constexpr std::ptrdiff_t kMinCrashes = 2;
 }
 
 void
@@ -22,51 +24,111 @@
   for (const auto& run : aLost.runs) {
     Task task(run.job, run.task);
     Runner runner(aUpstream, run.runnerStartedMs);
-    if (!RecordOf(task).runners.contains(runner)) {
+    if (aLost.state == protocol::LossState::Retracted) {
+      Retract(task, runner);
+      continue;
+    }
+    const auto* record = Find(task.first, task.second);
+    if (!record || !record->contains(runner)) {
       newByRunner[runner].push_back(std::move(task));
+    } else if (aLost.state == protocol::LossState::Confirmed) {
+      RecordOf(task).at(runner).isConfirmed = true;
     }
   }
   for (const auto& [runner, tasks] : newByRunner) {
-    AddLossOf(runner, tasks, aNow);
+    AddLossOf(runner, tasks, aLost.state, aNow);
   }
 }
 
 void
 LostRunnerCounts::AddLossOf(const Runner& aRunner,
                             const std::vector<Task>& aTasks,
+                            protocol::LossState aState,
                             MonotonicTime aNow)
 {
   std::size_t mostBlames = 0;
   for (const auto& task : aTasks) {
-    mostBlames = std::max(mostBlames, RecordOf(task).blames);
+    mostBlames = std::max(mostBlames, Blames(RecordOf(task)));
   }
-  std::vector<Record*> toBlame;
+  std::vector<Verdict*> toBlame;
   for (const auto& task : aTasks) {
     auto& record = RecordOf(task);
-    if (!record.runners.insert(aRunner).second) {
+    bool isToBlame = Blames(record) == mostBlames;
+    auto [added, isNew] = record.emplace(aRunner, Verdict{});
+    if (!isNew) {
       // The message names the loss more than once.
       continue;
     }
+    added->second.isConfirmed = aState == protocol::LossState::Confirmed;
     losses_.push_back({ task, aRunner, aNow });
-    if (record.blames == mostBlames) {
-      toBlame.push_back(&record);
+    if (isToBlame) {
+      toBlame.push_back(&added->second);
     }
   }
-  for (auto* record : toBlame) {
-    ++record->blames;
-    record->wasBlamedAlone |= toBlame.size() == 1;
+  for (auto* verdict : toBlame) {
+    verdict->isBlamed = true;
+    verdict->isBlamedAlone = toBlame.size() == 1;
   }
   while (losses_.size() > kMaxLosses) {
     ForgetOldest();
   }
 }
 
+void
+LostRunnerCounts::Retract(const Task& aTask, const Runner& aRunner)
+{
+  auto found =
+    std::find_if(losses_.begin(), losses_.end(), [&](const Loss& aLoss) {
+      return aLoss.task == aTask && aLoss.runner == aRunner;
+    });
+  if (found != losses_.end()) {
+    losses_.erase(found);
+    EraseRecord(aTask, aRunner);
+  }
+}
+
+std::size_t
+LostRunnerCounts::Blames(const Record& aRecord)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aRecord.begin(), aRecord.end(), [](const auto& aItem) {
+      return aItem.second.isBlamed;
+    }));
+}
+
+bool
+LostRunnerCounts::IsOverLimit(const Record& aRecord)
+{
+  bool wasBlamedAlone =
+    std::any_of(aRecord.begin(), aRecord.end(), [](const auto& aItem) {
+      return aItem.second.isBlamedAlone;
+    });
+  return (wasBlamedAlone && Blames(aRecord) >= kMaxBlames) ||
+         aRecord.size() >= kMaxLostRunners;
+}
+
+bool
+LostRunnerCounts::HasEnoughCrashes(const Record& aRecord)
+{
+  auto crashes =
+    std::count_if(aRecord.begin(), aRecord.end(), [](const auto& aItem) {
+      return aItem.second.isConfirmed;
+    });
+  return crashes >= kMinCrashes;
+}
+
 bool
 LostRunnerCounts::IsGivenUp(const SubmissionId& aJob, std::uint32_t aTask) const
 {
   const auto* record = Find(aJob, aTask);
-  return record && ((record->wasBlamedAlone && record->blames >= kMaxBlames) ||
-                    record->runners.size() >= kMaxLostRunners);
+  return record && IsOverLimit(*record) && HasEnoughCrashes(*record);
+}
+
+bool
+LostRunnerCounts::IsHeld(const SubmissionId& aJob, std::uint32_t aTask) const
+{
+  const auto* record = Find(aJob, aTask);
+  return record && IsOverLimit(*record) && !HasEnoughCrashes(*record);
 }
 
 const LostRunnerCounts::Record*
@@ -91,17 +153,23 @@
 void
 LostRunnerCounts::ForgetOldest()
 {
-  const auto& oldest = losses_.front();
-  auto& tasks = records_.at(oldest.task.first);
-  auto& record = tasks.at(oldest.task.second);
-  record.runners.erase(oldest.runner);
-  if (record.runners.empty()) {
-    tasks.erase(oldest.task.second);
+  auto oldest = std::move(losses_.front());
+  losses_.pop_front();
+  EraseRecord(oldest.task, oldest.runner);
+}
+
+void
+LostRunnerCounts::EraseRecord(const Task& aTask, const Runner& aRunner)
+{
+  auto& tasks = records_.at(aTask.first);
+  auto& record = tasks.at(aTask.second);
+  record.erase(aRunner);
+  if (record.empty()) {
+    tasks.erase(aTask.second);
   }
   if (tasks.empty()) {
-    records_.erase(oldest.task.first);
+    records_.erase(aTask.first);
   }
-  losses_.pop_front();
 }
 
 }
--- a/Libraries/LibJob/LostRunnerCounts.h
+++ b/Libraries/LibJob/LostRunnerCounts.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -32,8 +31,21 @@
   {
     return Find(aJob, aTask) != nullptr;
   }
-  /** Whether the task must not be started again. */
+  /**
+   * Whether the task must not be started again: it is to blame for enough
+   * losses, and at least two of its runners have crashed.
+   */
   bool IsGivenUp(const SubmissionId& aJob, std::uint32_t aTask) const;
+  /**
+   * Whether the task must not be started for now: it would be given up if the
+   * runners that are silent had crashed.
+   */
+  bool IsHeld(const SubmissionId& aJob, std::uint32_t aTask) const;
+  /** Whether some task of the job was at work on a runner as it was lost. */
+  bool KnowsJob(const SubmissionId& aJob) const
+  {
+    return records_.contains(aJob);
+  }
   /** Forgets old losses; must be called regularly. */
   void OnTick(MonotonicTime aNow);
 
@@ -41,13 +53,15 @@
   using Task = std::pair<SubmissionId, std::uint32_t>;
   /** An incarnation of a runner. */
   using Runner = std::pair<UpstreamId, std::int64_t>;
-  struct Record
+  /** What one loss says of one task. */
+  struct Verdict
   {
-    std::set<Runner> runners;
-    /** Losses for which the task was to blame, alone or with others. */
-    std::size_t blames = 0;
-    bool wasBlamedAlone = false;
+    bool isConfirmed = false;
+    /** The task was to blame, alone or with others. */
+    bool isBlamed = false;
+    bool isBlamedAlone = false;
   };
+  using Record = std::map<Runner, Verdict>;
   struct Loss
   {
     Task task;
@@ -55,6 +69,10 @@
     MonotonicTime at;
   };
 
+  static std::size_t Blames(const Record& aRecord);
+  /** Whether the losses suffice to give the task up, if all are confirmed. */
+  static bool IsOverLimit(const Record& aRecord);
+  static bool HasEnoughCrashes(const Record& aRecord);
   const Record* Find(const SubmissionId& aJob, std::uint32_t aTask) const;
   Record& RecordOf(const Task& aTask)
   {
@@ -62,7 +80,10 @@
   }
   void AddLossOf(const Runner& aRunner,
                  const std::vector<Task>& aTasks,
+                 protocol::LossState aState,
                  MonotonicTime aNow);
+  void Retract(const Task& aTask, const Runner& aRunner);
+  void EraseRecord(const Task& aTask, const Runner& aRunner);
   void ForgetOldest();
 
   std::map<SubmissionId, std::map<std::uint32_t, Record>> records_;
--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -160,6 +160,7 @@
   // A start call to the earlier incarnation may have reached this one. The
   // higher token fences off further ones.
   auto arrived = KeysOf(aAnswer);
+  ResolveSuspectedLosses(protocol::LossState::Confirmed);
   EndRunsExcept(arrived, EndEvidence::RunnerLost, aNow);
   for (const auto& key : arrived) {
     auto found = runs_.find(key);
@@ -198,7 +199,11 @@
     }
   }
   if (OutcomeOf(aEvidence) == protocol::RunOutcome::RunnerLost) {
-    AnnounceLosses(lost, aNow);
+    AnnounceLosses(lost,
+                   aEvidence == EndEvidence::RunnerSilent
+                     ? protocol::LossState::Suspected
+                     : protocol::LossState::Confirmed,
+                   aNow);
   }
   for (const auto& key : lost) {
     End(key, OutcomeOf(aEvidence), aEvidence, aNow);
@@ -207,23 +212,48 @@
 
 void
 RunSupervisor::AnnounceLosses(const std::vector<RunKey>& aLost,
+                              protocol::LossState aState,
                               MonotonicTime aNow)
 {
   if (aLost.empty()) {
     return;
   }
   protocol::LostRuns message;
+  message.state = aState;
   for (const auto& key : aLost) {
     message.runs.push_back(
       { key.job, key.task.index, runner_->report.startedMs });
-    recentLosses_.push_back({ message.runs.back(), aNow + kLossRetention });
+    recentLosses_.push_back(
+      { message.runs.back(), aState, aNow + kLossRetention });
   }
   while (recentLosses_.size() > kMaxRecentLosses) {
     recentLosses_.pop_front();
   }
   // Entries learn of the losses before they can place the tasks again.
+  SendToEntries(message);
+}
+
+void
+RunSupervisor::ResolveSuspectedLosses(protocol::LossState aAs)
+{
+  protocol::LostRuns message;
+  message.state = aAs;
+  for (auto& loss : recentLosses_) {
+    if (loss.state == protocol::LossState::Suspected) {
+      loss.state = aAs;
+      message.runs.push_back(loss.run);
+    }
+  }
+  if (!message.runs.empty()) {
+    SendToEntries(message);
+  }
+}
+
+void
+RunSupervisor::SendToEntries(const protocol::LostRuns& aLost)
+{
   for (const auto& session : sessions_) {
-    port_.SendToEntry(session.first, message);
+    port_.SendToEntry(session.first, aLost);
   }
 }
 
@@ -264,6 +294,7 @@
     return;
   }
   EndRunsExcept({}, EndEvidence::RunnerLeft, aNow);
+  ResolveSuspectedLosses(protocol::LossState::Retracted);
   runner_.reset();
   pendingHolds_.clear();
   foreignRuns_.clear();
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -188,6 +188,7 @@
   struct RecentLoss
   {
     protocol::LostRun run;
+    protocol::LossState state;
     MonotonicTime expires;
   };
   using QueueKey = std::tuple<std::uint32_t, std::uint64_t, RunKey>;
@@ -217,7 +218,12 @@
   /** Whether the runner was seen not to answer for a while. */
   bool IsRunnerSilent(MonotonicTime aNow) const;
   /** Tells all entries which runs were at work as the runner was lost. */
-  void AnnounceLosses(const std::vector<RunKey>& aLost, MonotonicTime aNow);
+  void AnnounceLosses(const std::vector<RunKey>& aLost,
+                      protocol::LossState aState,
+                      MonotonicTime aNow);
+  /** Tells all entries whether the runner had crashed or was only silent. */
+  void ResolveSuspectedLosses(protocol::LossState aAs);
+  void SendToEntries(const protocol::LostRuns& aLost);
   void SendRecentLosses(const EntryId& aEntry);
   /**
    * A runner that doesn't report its start time counts as the same incarnation.
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -91,6 +91,9 @@
         lastProcessedHold_ = aNumber;
         ProcessHoldAnswer(aAnswer, hold, aNow);
       }
+      if (!IsSameIncarnation(aAnswer, runner_->report)) {
+        ResolveSuspectedLosses(protocol::LossState::Confirmed);
+      }
       break;
     case HoldResult::Fenced:
       if (hold.token == runner_->token) {
@@ -101,6 +104,8 @@
       MarkUnreachable(aNow);
       break;
     case HoldResult::OtherIncarnation:
+      ResolveSuspectedLosses(protocol::LossState::Confirmed);
+      [[fallthrough]];
     case HoldResult::Unknown:
       // OnTick() repeats the call later, so that calls that fail at once don't
       // form a busy loop. A new incarnation announces itself with a report.
@@ -146,6 +151,7 @@
                                  MonotonicTime aNow)
 {
   runner_->lastAnswerAt = aNow;
+  ResolveSuspectedLosses(protocol::LossState::Retracted);
   if (!runner_->isReachable) {
     runner_->isReachable = true;
     ++statusRevision_;
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -76,14 +76,15 @@
 void
 RunSupervisor::SendRecentLosses(const EntryId& aEntry)
 {
-  if (recentLosses_.empty()) {
-    return;
-  }
-  protocol::LostRuns message;
+  std::map<protocol::LossState, protocol::LostRuns> messages;
   for (const auto& loss : recentLosses_) {
+    auto& message = messages[loss.state];
+    message.state = loss.state;
     message.runs.push_back(loss.run);
   }
-  port_.SendToEntry(aEntry, std::move(message));
+  for (auto& item : messages) {
+    port_.SendToEntry(aEntry, std::move(item.second));
+  }
 }
 
 bool
--- a/Libraries/LibProtocol/LostRuns.h
+++ b/Libraries/LibProtocol/LostRuns.h
@@ -9,6 +9,17 @@
 
 namespace vanillaworks::protocol {
 
+/** What an agent knows of the loss of its runner. */
+enum class LossState : int
+{
+  /** The runner has been silent until the leases there were over. */
+  Suspected,
+  /** The runner has crashed: its incarnation is over. */
+  Confirmed,
+  /** The runner was silent only; the same incarnation answers again. */
+  Retracted
+};
+
 /** A task that was at work on a runner as it was lost. */
 struct LostRun
 {
@@ -28,10 +39,13 @@
 struct LostRuns
 {
   std::vector<LostRun> runs;
+  LossState state = LossState::Confirmed;
 
-  MSGPACK_DEFINE_ARRAY(runs)
+  MSGPACK_DEFINE_ARRAY(runs, state)
 };
 
 }
 
+MSGPACK_ADD_ENUM(vanillaworks::protocol::LossState)
+
 #endif
--- a/Tests/LibJob/CrashingTaskTest.cpp
+++ b/Tests/LibJob/CrashingTaskTest.cpp
@@ -97,3 +97,24 @@
     CHECK(cluster.CrashesUnder(job) <= 4);
   }
 }
+
+TEST_CASE("a task isn't answered as failed because its runners fell silent")
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    SimulatedJobCluster cluster(SixteenAgents(seed));
+    JobLoad lengthy{ 4, Milliseconds(900) };
+    lengthy.callerTimeout = Milliseconds(20'000);
+    for (int at = 0; at < 6000; at += 100) {
+      cluster.Schedule(Milliseconds(at),
+                       [&cluster, lengthy] { cluster.Submit(lengthy); });
+    }
+    // Each runner is silent for 1.5 s, by turns, and goes on as it was.
+    for (int i = 0; i < 80; ++i) {
+      cluster.SilenceRunner(i % 16, Milliseconds(1500));
+      cluster.Run(Milliseconds(150));
+    }
+    cluster.Run(Milliseconds(25'000));
+    CHECK(cluster.Count(job::JobState::Failed) == 0);
+  }
+}
--- a/Tests/LibJob/LostRunnerCountsTest.cpp
+++ b/Tests/LibJob/LostRunnerCountsTest.cpp
@@ -15,9 +15,11 @@
 Lose(LostRunnerCounts& aCounts,
      int aAgent,
      const std::vector<SubmissionId>& aJobs,
-     MonotonicTime aNow = kNow)
+     MonotonicTime aNow = kNow,
+     protocol::LossState aState = protocol::LossState::Confirmed)
 {
   protocol::LostRuns lost;
+  lost.state = aState;
   for (const auto& job : aJobs) {
     lost.runs.push_back({ job, 0, 1'700'000'000'000 });
   }
@@ -62,6 +64,34 @@
   CHECK(counts.IsGivenUp(kGood, 0));
 }
 
+TEST_CASE("a task isn't given up while its runners may just be silent")
+{
+  constexpr auto kSuspected = protocol::LossState::Suspected;
+  LostRunnerCounts counts;
+  for (int agent = 1; agent <= 3; ++agent) {
+    CHECK_FALSE(counts.IsHeld(kBad, 0));
+    Lose(counts, agent, { kBad }, kNow, kSuspected);
+  }
+  CHECK(counts.IsHeld(kBad, 0));
+  CHECK_FALSE(counts.IsGivenUp(kBad, 0));
+  SECTION("given up once two of them have crashed")
+  {
+    Lose(counts, 1, { kBad });
+    CHECK(counts.IsHeld(kBad, 0));
+    Lose(counts, 2, { kBad });
+    CHECK(counts.IsGivenUp(kBad, 0));
+    CHECK_FALSE(counts.IsHeld(kBad, 0));
+  }
+  SECTION("goes on once one of them is back")
+  {
+    Lose(counts, 3, { kBad }, kNow, protocol::LossState::Retracted);
+    CHECK_FALSE(counts.IsHeld(kBad, 0));
+    CHECK(counts.IsSuspect(kBad, 0));
+    counts.OnTick(kNow + std::chrono::seconds(60));
+    CHECK_FALSE(counts.IsSuspect(kBad, 0));
+  }
+}
+
 TEST_CASE("a loss that is announced again counts once")
 {
   LostRunnerCounts counts;
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -97,6 +97,15 @@
       cluster.WhenAwake(index, action);
     });
   }
+  void SendToRunner(std::function<void()> aAction,
+                    std::function<void()> aOnLost)
+  {
+    if (cluster.now_ < runnerSilentUntil) {
+      aOnLost();
+      return;
+    }
+    cluster.SendToRunner(std::move(aAction), std::move(aOnLost));
+  }
   /** Carries out a stop or hold call that got no answer, if it is to be. */
   void ExecuteLate(std::function<void()> aAction)
   {
@@ -117,7 +126,7 @@
         }
       });
     };
-    cluster.SendToRunner(
+    SendToRunner(
       [this, answer, aCall] {
         answer(IsRunnerDown() ? job::StartResult::NotReached
                               : runner->Start(aCall, cluster.now_));
@@ -152,7 +161,7 @@
       onLost();
       return;
     }
-    cluster.SendToRunner(
+    SendToRunner(
       [this, answer, aCall] {
         answer(IsRunnerDown() ? job::StopResult::Unknown
                               : runner->Stop(aCall, cluster.now_));
@@ -163,7 +172,7 @@
   {
     auto ofIncarnation = incarnation;
     auto until = cluster.now_ + aCall.wait;
-    cluster.SendToRunner(
+    SendToRunner(
       [this, ofIncarnation, aNumber, aCall, until] {
         if (IsRunnerDown()) {
           AnswerHold(ofIncarnation, aNumber, NotReached());
@@ -241,6 +250,7 @@
   MonotonicTime frozenUntil;
   /** Until then, nothing listens at the runner's address. */
   MonotonicTime runnerDownUntil;
+  MonotonicTime runnerSilentUntil;
   MonotonicTime stopsLostUntil;
   /** What the process will find in its sockets when it goes on. */
   std::vector<std::function<void()>> unread;
@@ -400,6 +410,12 @@
   node.stopsLostUntil = std::max(node.stopsLostUntil, now_ + aFor);
 }
 
+void
+SimulatedJobCluster::SilenceRunner(int aAgent, Milliseconds aFor)
+{
+  agents_[static_cast<std::size_t>(aAgent)]->runnerSilentUntil = now_ + aFor;
+}
+
 void
 SimulatedJobCluster::FreezeEntry(int aEntry, Milliseconds aFor)
 {
--- a/Tests/LibJob/SimulatedJobCluster.h
+++ b/Tests/LibJob/SimulatedJobCluster.h
@@ -96,6 +96,8 @@
   void LoseCallers(int aEntry);
   /** The agent's stop calls get no answer for aFor. */
   void LoseStops(int aAgent, Milliseconds aFor);
+  /** The agent's calls get no answer and are lost for aFor. */
+  void SilenceRunner(int aAgent, Milliseconds aFor);
   void CrashRunner(int aAgent) { Runner(aAgent).Crash(now_); }
   /** The runner's next incarnation is there after aFor. */
   void TakeDownRunner(int aAgent, Milliseconds aFor);
