LibJob: Fence a runner's next incarnation at its first answer

The same late start that ran a refused job also runs a task twice at once, if the task was placed elsewhere in between. It gets through from the runner's rebirth until its agent fences the new incarnation, which waited for the runner's own report, up to 1.5 s later: the answers to the agent's hold calls already named another incarnation and were dropped.

Change: an answer of a later incarnation is enough to fence and adopt it; its late starts are refused or stopped from then on. Nothing is started there before it has reported, since its capacity isn't known, and an inferred report isn't stored.

Evidence: the new test got no fencing call before.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -78,8 +78,12 @@
     return;
   }
   auto learnedSlowness = runner_->report.learnedSlowness;
+  bool isFirst = runner_->report.isInferred;
   runner_->report = aReport;
   runner_->report.learnedSlowness = learnedSlowness;
+  if (isFirst) {
+    port_.SaveReport(runner_->report);
+  }
   runner_->clock.OnRead(aReport.clockMs, aNow);
   UpdateRoomKnown(aNow);
   ++statusRevision_;
@@ -182,7 +186,9 @@
   runner_->token = aToken;
   runner_->leasesExpireAt = aNow + limits_.grantedLease * 2;
   pendingHolds_.clear();
-  port_.SaveReport(runner_->report);
+  if (!aReport.isInferred) {
+    port_.SaveReport(runner_->report);
+  }
   port_.OnRunnerAdopted(aReport, aToken);
   ProcessHoldAnswer(aAnswer, { 0, aNow, aToken, 0, aNow, true }, aNow);
 }
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -202,6 +202,8 @@
                         const HoldAnswer& aAnswer,
                         std::uint64_t aToken,
                         MonotonicTime aNow);
+  /** Fences and adopts an incarnation that answers before it has reported. */
+  void OnNextIncarnationAnswered(const HoldAnswer& aAnswer, MonotonicTime aNow);
   /**
    * Handles a call without an answer; marks the runner unreachable if it has
    * been silent for too long.
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -92,7 +92,7 @@
         ProcessHoldAnswer(aAnswer, hold, aNow);
       }
       if (!IsSameIncarnation(aAnswer, runner_->report)) {
-        ResolveSuspectedLosses(protocol::LossState::Confirmed);
+        OnNextIncarnationAnswered(aAnswer, aNow);
       }
       break;
     case HoldResult::Fenced:
@@ -118,6 +118,26 @@
   FlushReports();
 }
 
+void
+RunSupervisor::OnNextIncarnationAnswered(const HoldAnswer& aAnswer,
+                                         MonotonicTime aNow)
+{
+  ResolveSuspectedLosses(protocol::LossState::Confirmed);
+  MarkUnreachable(aNow);
+  bool isNewer = aAnswer.startedMs > runner_->report.startedMs;
+  if (verification_ || !isNewer) {
+    return;
+  }
+  // Its own report may take more than a second, and until it is fenced it
+  // carries out late calls to its predecessor.
+  auto inferred = runner_->report;
+  inferred.startedMs = aAnswer.startedMs;
+  inferred.clockMs = aAnswer.clockMs;
+  inferred.sequence = 0;
+  inferred.isInferred = true;
+  VerifyReport(inferred, aAnswer.clockMs, aNow);
+}
+
 void
 RunSupervisor::OnNoAnswer(MonotonicTime aNow)
 {
--- a/Libraries/LibJob/RunSupervisorRoom.cpp
+++ b/Libraries/LibJob/RunSupervisorRoom.cpp
@@ -5,7 +5,7 @@
 bool
 RunSupervisor::IsRoomKnown(MonotonicTime aNow) const
 {
-  if (!runner_) {
+  if (!runner_ || runner_->report.isInferred) {
     return false;
   }
   // The clock is that of the runner, so that a report counts from when it was
--- a/Libraries/LibJob/RunnerReport.h
+++ b/Libraries/LibJob/RunnerReport.h
@@ -41,6 +41,11 @@
    * has learned it; 0 if unknown. Only saved reports carry it.
    */
   std::int64_t learnedSlowness = 0;
+  /**
+   * Not reported: derived from the former incarnation's report when the next
+   * one answered a call. Its capacity is not known.
+   */
+  bool isInferred = false;
 };
 
 }
--- a/Tests/LibJob/RunSupervisorTest.cpp
+++ b/Tests/LibJob/RunSupervisorTest.cpp
@@ -405,6 +405,34 @@
 }
 }
 
+TEST_CASE("a runner's next incarnation is fenced before it has reported")
+{
+  Fixture fixture;
+  fixture.Adopt();
+  fixture.Order(1);
+  fixture.supervisor.OnStartAnswered(
+    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  auto formerToken = fixture.token;
+  auto reportsSaved = fixture.saved.size();
+  fixture.startedMs += 5000;
+  fixture.clockMs = 10;
+  fixture.sequence = 0;
+  fixture.AnswerHold(fixture.Answer());
+  REQUIRE(fixture.holds.size() == 1);
+  CHECK(fixture.holds.front().second.target.token > formerToken);
+  fixture.AnswerHold(fixture.Answer());
+  CHECK(fixture.ends == std::vector{ RunOutcome::RunnerLost });
+  SECTION("but starts nothing, since its capacity isn't known")
+  {
+    fixture.OrderFor(SubmissionId("00000000000000bb"), 1, 500, 0);
+    CHECK(fixture.starts.size() == 1);
+    CHECK(fixture.saved.size() == reportsSaved);
+    fixture.supervisor.OnRunnerReport(fixture.Report(), fixture.now);
+    CHECK(fixture.starts.size() == 2);
+    CHECK(fixture.saved.size() == reportsSaved + 1);
+  }
+}
+
 TEST_CASE("a run that reached the runner's next incarnation is tracked there")
 {
   Fixture fixture;
