LibJob: Take the answer to a former start call for no later run's

Runs of two entries for one task can have the same number. The answer to the first one's start call, which an agent no longer awaits, ended the second one's run: a late 409 made it "never started" while its own call was under way, so that the job could be rejected, or the task be placed again and run twice.

Each run keeps the token of its latest call; an answer to another one is ignored.

--- a/Libraries/LibJob/Run.h
+++ b/Libraries/LibJob/Run.h
@@ -45,6 +45,8 @@
   MonotonicTime calledAt;
   /** Start calls so far; a call without an answer is retried. */
   std::uint32_t startAttempts = 0;
+  /** The token of the latest start call. */
+  std::uint64_t startToken = 0;
   std::uint32_t stopAttempts = 0;
   /** When the runner confirmed the start. */
   MonotonicTime startedAt;
--- a/Libraries/LibJob/RunSupervisorStarts.cpp
+++ b/Libraries/LibJob/RunSupervisorStarts.cpp
@@ -30,8 +30,10 @@
     startResponseTimes_.AddSample(
       std::chrono::duration_cast<Milliseconds>(aNow - run.calledAt));
   }
+  // A run of the same number for another entry may have been called before.
   bool isAwaited =
-    run.phase == RunPhase::Starting || run.phase == RunPhase::Uncertain;
+    aToken == run.startToken &&
+    (run.phase == RunPhase::Starting || run.phase == RunPhase::Uncertain);
   if (!isAwaited) {
     return;
   }
@@ -55,6 +57,7 @@
   auto doublings = std::min(aRun.startAttempts, kMaxDoublings);
   auto timeout = startResponseTimes_.Timeout() * (1 << doublings);
   ++aRun.startAttempts;
+  aRun.startToken = runner_->token;
   port_.CallStart(
     { Target(), aRun.key, aRun.spec, ExtendLease(aNow), timeout });
 }
