LibJob: Tell new links only the latest that is known of a loss

A runner that was silent under a task, answered, and then crashed under it, stood in the agent's memory as retracted and as confirmed. An entry that linked later got the retraction last and forgot the crash, and with it that the job had started.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -229,6 +229,10 @@
   for (const auto& key : aLost) {
     message.runs.push_back(
       { key.job, key.task.index, runner_->report.startedMs });
+    // Only the latest that is known of a loss is told on new links.
+    std::erase_if(recentLosses_, [&message](const RecentLoss& aLoss) {
+      return aLoss.run == message.runs.back();
+    });
     recentLosses_.push_back(
       { message.runs.back(), aState, aNow + kLossRetention });
   }
--- a/Libraries/LibProtocol/LostRuns.h
+++ b/Libraries/LibProtocol/LostRuns.h
@@ -28,6 +28,7 @@
   /** Start time of the lost incarnation of the runner, Unix milliseconds. */
   std::int64_t runnerStartedMs = 0;
 
+  friend bool operator==(const LostRun&, const LostRun&) = default;
   MSGPACK_DEFINE_ARRAY(job, task, runnerStartedMs)
 };
 
--- a/Tests/LibJob/RunBeliefsTest.cpp
+++ b/Tests/LibJob/RunBeliefsTest.cpp
@@ -46,6 +46,69 @@
 };
 }
 
+TEST_CASE("a crash after a silence is known on a new link")
+{
+  TwoEntryFixture fixture;
+  fixture.Adopt();
+  fixture.Order(1);
+  fixture.supervisor.OnStartAnswered(
+    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  // Silent until the leases are over.
+  for (int i = 0; i < 50; ++i) {
+    fixture.AdvanceTime(Milliseconds(50));
+    fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+    auto holds = std::exchange(fixture.holds, {});
+    for (const auto& hold : holds) {
+      fixture.supervisor.OnHoldAnswered(hold.first, {}, fixture.now);
+    }
+    fixture.supervisor.OnTick(fixture.now);
+  }
+  REQUIRE(fixture.losses.size() == 1);
+  REQUIRE(fixture.losses[0].second.state == LossState::Suspected);
+  // The same incarnation answers again.
+  for (int i = 0; i < 4; ++i) {
+    fixture.AdvanceTime(Milliseconds(60));
+    fixture.supervisor.OnRevalidated(kEntry, fixture.now);
+    fixture.supervisor.OnRunnerReport(fixture.Report(), fixture.now);
+    fixture.supervisor.OnTick(fixture.now);
+    if (!fixture.holds.empty()) {
+      fixture.AnswerHold(fixture.Answer());
+    }
+  }
+  REQUIRE(fixture.losses.size() == 2);
+  REQUIRE(fixture.losses[1].second.state == LossState::Retracted);
+  // The task starts there again and crashes the runner.
+  fixture.OrderOf(kEntry, 2);
+  REQUIRE(fixture.starts.size() == 2);
+  fixture.supervisor.OnStartAnswered(
+    { kJob, { 0, 2 } }, fixture.token, StartResult::Started, fixture.now);
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.startedMs += 5000;
+  fixture.clockMs = 10;
+  fixture.sequence = 0;
+  fixture.holds.clear();
+  fixture.supervisor.OnRunnerReport(fixture.Report(), fixture.now);
+  fixture.AnswerHold(fixture.Answer());
+  REQUIRE(fixture.losses.size() == 3);
+  REQUIRE(fixture.losses[2].second.state == LossState::Confirmed);
+  job::LostRunnerCounts counts;
+  SECTION("an entry that was linked all the while")
+  {
+    for (const auto& loss : fixture.losses) {
+      counts.Add(UpstreamId("u1"), loss.second, fixture.now);
+    }
+  }
+  SECTION("an entry whose link opens now")
+  {
+    fixture.losses.clear();
+    fixture.LinkOther({});
+    for (const auto& loss : fixture.losses) {
+      counts.Add(UpstreamId("u1"), loss.second, fixture.now);
+    }
+  }
+  CHECK(counts.IsSuspect(kJob, 0));
+}
+
 TEST_CASE("the answer to a former start call ends no later run")
 {
   TwoEntryFixture fixture;
