LibJob: Keep what was told of an order without a run

An order that had waited for another entry's run ended as other_run_active; if that report was lost with its link, the entry was told on the next link that the order never came, which counts as never started.

What is told of an order without a run is kept as long as the end of a run.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -346,10 +346,12 @@
   recentEnds_[{ run.entry, run.key }] = { end, aNow + limits_.endRetention };
   reports_[{ run.entry, run.key.job }].push_back(end);
   NotifyEnded(run, end, aEvidence, aNow);
-  ReleaseBlockedOrders([&run](const BlockedOrder& aOrder) {
-    return aOrder.key.job == run.key.job &&
-           aOrder.key.task.index == run.key.task.index;
-  });
+  ReleaseBlockedOrders(
+    [&run](const BlockedOrder& aOrder) {
+      return aOrder.key.job == run.key.job &&
+             aOrder.key.task.index == run.key.task.index;
+    },
+    aNow);
   ++statusRevision_;
 }
 
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -294,7 +294,8 @@
    * then know that the job has started.
    */
   void ReleaseBlockedOrders(
-    const std::function<bool(const BlockedOrder&)>& aIsDue);
+    const std::function<bool(const BlockedOrder&)>& aIsDue,
+    MonotonicTime aNow);
   /** Reports what became of a run that the entry awaits and that isn't here. */
   void ReportUnknownRun(const EntryId& aEntry,
                         const RunKey& aKey,
@@ -303,7 +304,8 @@
   void ReportWithoutRun(const EntryId& aEntry,
                         const RunKey& aKey,
                         protocol::RunOutcome aOutcome,
-                        EndEvidence aEvidence);
+                        EndEvidence aEvidence,
+                        MonotonicTime aNow);
   /** Number of runs that occupy resources or may do so: all but queued ones. */
   std::size_t CountOccupyingRuns() const
   {
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -117,24 +117,30 @@
     session == sessions_.end() ||
     aNow - session->second.revalidatedAt >= limits_.endRetention;
   if (mayBeForgotten) {
-    ReportWithoutRun(
-      aEntry, aKey, protocol::RunOutcome::Stopped, EndEvidence::Forgotten);
+    ReportWithoutRun(aEntry,
+                     aKey,
+                     protocol::RunOutcome::Stopped,
+                     EndEvidence::Forgotten,
+                     aNow);
     return;
   }
   // The order never arrived; it was lost with the old link.
   ReportWithoutRun(aEntry,
                    aKey,
                    protocol::RunOutcome::NotRevalidated,
-                   EndEvidence::NeverOrdered);
+                   EndEvidence::NeverOrdered,
+                   aNow);
 }
 
 void
 RunSupervisor::ReportWithoutRun(const EntryId& aEntry,
                                 const RunKey& aKey,
                                 protocol::RunOutcome aOutcome,
-                                EndEvidence aEvidence)
+                                EndEvidence aEvidence,
+                                MonotonicTime aNow)
 {
   protocol::RunEnd end{ aKey.task, aOutcome, 0 };
+  recentEnds_[{ aEntry, aKey }] = { end, aNow + limits_.endRetention };
   reports_[{ aEntry, aKey.job }].push_back(end);
   port_.OnRunEnded(
     { aEntry, aKey.job, end, aEvidence, StopReason::None, {}, {} });
@@ -184,7 +190,8 @@
 
 void
 RunSupervisor::ReleaseBlockedOrders(
-  const std::function<bool(const BlockedOrder&)>& aIsDue)
+  const std::function<bool(const BlockedOrder&)>& aIsDue,
+  MonotonicTime aNow)
 {
   auto due = std::stable_partition(
     blockedOrders_.begin(), blockedOrders_.end(), std::not_fn(aIsDue));
@@ -192,7 +199,8 @@
     ReportWithoutRun(order->entry,
                      order->key,
                      protocol::RunOutcome::OtherRunActive,
-                     EndEvidence::OtherRunActive);
+                     EndEvidence::OtherRunActive,
+                     aNow);
   }
   blockedOrders_.erase(due, blockedOrders_.end());
 }
@@ -235,7 +243,8 @@
   for (const auto& task : aCancel.tasks) {
     BlockedOrder blocked{ aEntry, { aCancel.job, task } };
     ReleaseBlockedOrders(
-      [&blocked](const BlockedOrder& aOrder) { return aOrder == blocked; });
+      [&blocked](const BlockedOrder& aOrder) { return aOrder == blocked; },
+      aNow);
     auto found = runs_.find({ aCancel.job, task });
     if (found == runs_.end() || found->second.entry != aEntry) {
       continue;
--- a/Tests/LibJob/RunBeliefsTest.cpp
+++ b/Tests/LibJob/RunBeliefsTest.cpp
@@ -46,6 +46,27 @@
 };
 }
 
+TEST_CASE("a lost answer to a blocked order doesn't become a denial")
+{
+  TwoEntryFixture fixture;
+  fixture.Adopt();
+  fixture.Order(1);
+  fixture.supervisor.OnStartAnswered(
+    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.AdvanceTime(Milliseconds(10));
+  fixture.LinkOther({});
+  fixture.OrderOf(kOther, 1);
+  // The second entry's link breaks; the report of this is lost with it.
+  fixture.AnswerHold(
+    fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Stopped } }));
+  fixture.told.clear();
+  fixture.AdvanceTime(Milliseconds(300));
+  fixture.LinkOther({ { kJob, { { 0, 1 } }, {} } });
+  REQUIRE(fixture.told.size() == 1);
+  INFO(protocol::RunOutcomeName(fixture.told[0].second));
+  CHECK_FALSE(protocol::NeverStarted(fixture.told[0].second));
+}
+
 TEST_CASE("a crash after a silence is known on a new link")
 {
   TwoEntryFixture fixture;
