LibJob: Let no other hardware inherit a runner's slowness

An incarnation that is adopted before it reports carries its predecessor's labels, so it kept the learned slowness even if its own report told of other hardware.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -74,11 +74,16 @@
     port_.SaveReport(runner_->report);
     ++statusRevision_;
   }
+  bool isFirst = runner_->report.isInferred;
   if (aReport.sequence <= runner_->report.sequence) {
     return;
   }
+  bool hasOtherHardware = isFirst && runner_->report.labels != aReport.labels;
+  if (hasOtherHardware) {
+    runner_->report.learnedSlowness = 0;
+    health_.Reset();
+  }
   auto learnedSlowness = runner_->report.learnedSlowness;
-  bool isFirst = runner_->report.isInferred;
   runner_->report = aReport;
   runner_->report.learnedSlowness = learnedSlowness;
   if (isFirst) {
--- a/Tests/LibJob/RunBeliefsTest.cpp
+++ b/Tests/LibJob/RunBeliefsTest.cpp
@@ -130,6 +130,41 @@
   CHECK(counts.IsSuspect(kJob, 0));
 }
 
+TEST_CASE("other hardware under the same id doesn't inherit slowness")
+{
+  RunSupervisorFixture fixture;
+  auto first = fixture.Report();
+  first.labels = { "a" };
+  first.learnedSlowness = 3000;
+  fixture.supervisor.OnRunnerReport(first, fixture.now);
+  fixture.AnswerHold(fixture.Answer());
+  fixture.Order(1);
+  fixture.supervisor.OnStartAnswered(
+    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.startedMs += 5000;
+  fixture.clockMs = 10;
+  fixture.sequence = 0;
+  SECTION("it reports first")
+  {
+    auto second = fixture.Report();
+    second.labels = { "b" };
+    fixture.supervisor.OnRunnerReport(second, fixture.now);
+    fixture.AnswerHold(fixture.Answer());
+  }
+  SECTION("it answers a hold call first")
+  {
+    fixture.AnswerHold(fixture.Answer());
+    fixture.AnswerHold(fixture.Answer());
+    auto second = fixture.Report();
+    second.labels = { "b" };
+    fixture.supervisor.OnRunnerReport(second, fixture.now);
+  }
+  REQUIRE(fixture.saved.back().labels == std::vector<std::string>{ "b" });
+  CHECK(fixture.saved.back().learnedSlowness == 0);
+  CHECK(fixture.supervisor.Status(kEntry, fixture.now).slownessPermille ==
+        1000);
+}
+
 TEST_CASE("the answer to a former start call ends no later run")
 {
   TwoEntryFixture fixture;
