LibJob: Take an incarnation's first report whatever its number

After an incarnation was adopted by its answer, a first report numbered 0 counted as old, and nothing was started until the next one.

--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -75,7 +75,7 @@
     ++statusRevision_;
   }
   bool isFirst = runner_->report.isInferred;
-  if (aReport.sequence <= runner_->report.sequence) {
+  if (!isFirst && aReport.sequence <= runner_->report.sequence) {
     return;
   }
   bool hasOtherHardware = isFirst && runner_->report.labels != aReport.labels;
--- a/Tests/LibJob/RunBeliefsTest.cpp
+++ b/Tests/LibJob/RunBeliefsTest.cpp
@@ -185,3 +185,19 @@
     fixture.Key(0), formerToken, StartResult::Fenced, fixture.now);
   CHECK(fixture.told.empty());
 }
+
+TEST_CASE("a first report numbered 0 counts after an inferred one")
+{
+  RunSupervisorFixture fixture;
+  fixture.Adopt();
+  fixture.Order(1);
+  fixture.startedMs += 5000;
+  fixture.clockMs = 10;
+  fixture.AnswerHold(fixture.Answer());
+  fixture.AnswerHold(fixture.Answer());
+  auto report = fixture.Report();
+  report.sequence = 0;
+  fixture.supervisor.OnRunnerReport(report, fixture.now);
+  fixture.OrderFor(SubmissionId("00000000000000bb"), 1, 500, 0);
+  CHECK(fixture.starts.size() == 2);
+}
