Entry: Don't reject a job as stopping that still waits here

A stopping entry rejected a second attempt with "mayHaveRun": false while the job of the first one waited for capacity; it was ordered a moment later.

--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -71,10 +71,13 @@
   /** Whether this entry currently serves the job. */
   bool IsServing(const SubmissionId& aJob) const;
   /**
-   * Whether a task of the job has run or may have run through this entry; such
-   * a job must not be rejected.
+   * Whether a task of the job has run, or may have run or still run through
+   * this entry; such a job must not be rejected.
    */
-  bool MayHaveStarted(const SubmissionId& aJob) const;
+  bool MayRun(const SubmissionId& aJob) const
+  {
+    return IsServing(aJob) || MayHaveStarted(aJob);
+  }
   /** Number of accepted jobs of the route with no task ordered yet. */
   std::size_t Pending(const std::string& aRouteName) const;
 
@@ -126,6 +129,8 @@
     MonotonicTime expires;
   };
 
+  /** Whether a task of the job has run or may have run. */
+  bool MayHaveStarted(const SubmissionId& aJob) const;
   void Reattach(Job& aJob, WaiterId aWaiter, MonotonicTime aNow);
   /** Places waiting tasks and answers the job if it is over. May erase aJob. */
   void Advance(Job& aJob, MonotonicTime aNow);
--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -281,7 +281,7 @@
   job.route = aRoute;
   job.arrival = aArrival;
   job.deadline = aArrival + TimeoutOf(*aExchange, aRoute);
-  if (!CanFinishBeforeStop(job) && !dispatcher_.MayHaveStarted(*id)) {
+  if (!CanFinishBeforeStop(job) && !dispatcher_.MayRun(*id)) {
     Reject(aExchange, "stopping");
     return;
   }
--- a/Tests/LibJob/JobDispatcherTest.cpp
+++ b/Tests/LibJob/JobDispatcherTest.cpp
@@ -189,7 +189,7 @@
   fixture.dispatcher.OnWaiterDisconnected(kJob, kFirstWaiter);
   fixture.Report(protocol::RunOutcome::Stopped, kNow + kWork);
   REQUIRE_FALSE(fixture.dispatcher.IsServing(kJob));
-  CHECK(fixture.dispatcher.MayHaveStarted(kJob));
+  CHECK(fixture.dispatcher.MayRun(kJob));
   auto later = kNow + Milliseconds(1300);
   fixture.dispatcher.OnAgentDown(kUpstream, later);
   fixture.dispatcher.Submit(Fixture::Request(later), kSecondWaiter, later);
@@ -202,12 +202,26 @@
 TEST_CASE("an entry knows which jobs may have started")
 {
   Fixture fixture;
-  CHECK_FALSE(fixture.dispatcher.MayHaveStarted(kJob));
+  CHECK_FALSE(fixture.dispatcher.MayRun(kJob));
   fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, kNow);
-  CHECK(fixture.dispatcher.MayHaveStarted(kJob));
+  CHECK(fixture.dispatcher.MayRun(kJob));
   fixture.dispatcher.OnWaiterDisconnected(kJob, kFirstWaiter);
   fixture.Report(protocol::RunOutcome::NoRoom, kNow);
-  CHECK_FALSE(fixture.dispatcher.MayHaveStarted(kJob));
+  CHECK_FALSE(fixture.dispatcher.MayRun(kJob));
+}
+
+TEST_CASE("a job that waits for capacity may still run")
+{
+  RecordingPort port;
+  ControlView control;
+  JobDispatcher dispatcher({}, control, 1, port);
+  dispatcher.BeginWarmUp(kNow);
+  dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, kNow);
+  REQUIRE(port.orders.empty());
+  CHECK(dispatcher.MayRun(kJob));
+  dispatcher.OnAgentUp(Fixture::Status(), kNow + Milliseconds(5));
+  dispatcher.OnTick(kNow + Milliseconds(10));
+  CHECK(port.orders.size() == 1);
 }
 
 TEST_CASE("an entry tells that it gives up on a run of a lost agent")
