LibJob: Renew the memory of a started job with each of its runs

A job that was known to have started, by another entry's loss or an earlier attempt, wasn't recorded again when its own runs ended: once the loss was taken back, or 30 s after the first run, a later attempt could be rejected as not run.

--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -384,10 +384,8 @@
 void
 JobDispatcher::MarkStarted(Job& aJob, MonotonicTime aNow)
 {
-  if (!aJob.hasStarted) {
-    aJob.hasStarted = true;
-    startedJobs_.Add(aJob.request.id, aNow);
-  }
+  aJob.hasStarted = true;
+  startedJobs_.Add(aJob.request.id, aNow);
 }
 
 void
--- a/Tests/LibJob/JobDispatcherTest.cpp
+++ b/Tests/LibJob/JobDispatcherTest.cpp
@@ -224,6 +224,43 @@
   CHECK(port.orders.size() == 1);
 }
 
+TEST_CASE("own runs are remembered though another loss was known first")
+{
+  Fixture fixture;
+  UpstreamId other("other");
+  protocol::LostRuns lost{ { { kJob, 0, 1 } }, protocol::LossState::Suspected };
+  fixture.dispatcher.OnLostRuns(other, lost, kNow);
+  fixture.dispatcher.Submit(Fixture::Request(kNow), kFirstWaiter, kNow);
+  fixture.dispatcher.OnWaiterDisconnected(kJob, kFirstWaiter);
+  fixture.Report(protocol::RunOutcome::Stopped, kNow + kWork);
+  lost.state = protocol::LossState::Retracted;
+  fixture.dispatcher.OnLostRuns(other, lost, kNow + kWork);
+  CHECK(fixture.dispatcher.MayRun(kJob));
+}
+
+TEST_CASE("a job that has started is remembered after its latest run")
+{
+  Fixture fixture;
+  auto play = [&fixture](const SubmissionId& aJob, Milliseconds aAt) {
+    auto at = kNow + aAt;
+    fixture.dispatcher.OnStatus(Fixture::Status(), at);
+    auto request = Fixture::Request(at);
+    request.id = aJob;
+    fixture.dispatcher.Submit(request, kFirstWaiter, at);
+    fixture.dispatcher.OnWaiterDisconnected(aJob, kFirstWaiter);
+    fixture.dispatcher.OnReport(
+      kUpstream,
+      { aJob, { { { 0, 1 }, protocol::RunOutcome::Stopped, 10 } } },
+      at + kWork);
+  };
+  play(kJob, Milliseconds(0));
+  play(kJob, Milliseconds(29'000));
+  play(SubmissionId("00000000000000c1"), Milliseconds(31'000));
+  play(kJob, Milliseconds(50'000));
+  play(SubmissionId("00000000000000c2"), Milliseconds(61'500));
+  CHECK(fixture.dispatcher.MayRun(kJob));
+}
+
 TEST_CASE("an entry tells that it gives up on a run of a lost agent")
 {
   Fixture fixture;
