--- a/Libraries/LibJob/LostRunnerCounts.cpp
+++ b/Libraries/LibJob/LostRunnerCounts.cpp
@@ -1,6 +1,7 @@
 #include "LibJob/LostRunnerCounts.h"
 
 #include <algorithm>
+#include <set>
 
 namespace vanillaworks::job {
 
@@ -20,14 +21,14 @@
                       const protocol::LostRuns& aLost,
                       MonotonicTime aNow)
 {
+  if (aLost.state == protocol::LossState::Retracted) {
+    Retract(aUpstream, aLost);
+    return;
+  }
   std::map<Runner, std::vector<Task>> newByRunner;
   for (const auto& run : aLost.runs) {
     Task task(run.job, run.task);
     Runner runner(aUpstream, run.runnerStartedMs);
-    if (aLost.state == protocol::LossState::Retracted) {
-      Retract(task, runner);
-      continue;
-    }
     const auto* record = Find(task.first, task.second);
     if (!record || !record->contains(runner)) {
       newByRunner[runner].push_back(std::move(task));
@@ -75,16 +76,21 @@
 }
 
 void
-LostRunnerCounts::Retract(const Task& aTask, const Runner& aRunner)
+LostRunnerCounts::Retract(const UpstreamId& aUpstream,
+                          const protocol::LostRuns& aLost)
 {
-  auto found =
-    std::find_if(losses_.begin(), losses_.end(), [&](const Loss& aLoss) {
-      return aLoss.task == aTask && aLoss.runner == aRunner;
-    });
-  if (found != losses_.end()) {
-    losses_.erase(found);
-    EraseRecord(aTask, aRunner);
+  std::set<std::pair<Task, Runner>> retracted;
+  for (const auto& run : aLost.runs) {
+    retracted.insert(
+      { { run.job, run.task }, { aUpstream, run.runnerStartedMs } });
   }
+  std::erase_if(losses_, [&](const Loss& aLoss) {
+    bool isRetracted = retracted.contains({ aLoss.task, aLoss.runner });
+    if (isRetracted) {
+      EraseRecord(aLoss.task, aLoss.runner);
+    }
+    return isRetracted;
+  });
 }
 
 std::size_t
--- a/Libraries/LibJob/LostRunnerCounts.h
+++ b/Libraries/LibJob/LostRunnerCounts.h
@@ -82,7 +82,7 @@
                  const std::vector<Task>& aTasks,
                  protocol::LossState aState,
                  MonotonicTime aNow);
-  void Retract(const Task& aTask, const Runner& aRunner);
+  void Retract(const UpstreamId& aUpstream, const protocol::LostRuns& aLost);
   void EraseRecord(const Task& aTask, const Runner& aRunner);
   void ForgetOldest();
 
