LibDispatch: Don't run a claim that was taken over for a fenced incarnation

Callers could be told "not run" of a submission that another entry started, or have a non-idempotent request run twice.

Cause: an entry asks for a takeover, is fenced while the table answers, and begins a new incarnation. The outcome was used all the same: the new incarnation placed the tasks, though the table names the fenced one as the owner. A third entry may take the claim from that owner; its fences cover the old incarnation only, so no gate refuses the new one's starts.

OnClaim() has the same check for a granted claim.

The outcome now names the incarnation that asked. If it isn't this one, the claim is handled as held by it, and is taken over by compare-and-set first.

--- a/Libraries/LibDispatch/ClaimOutcome.h
+++ b/Libraries/LibDispatch/ClaimOutcome.h
@@ -44,6 +44,8 @@
  */
 struct ClaimTakenOver
 {
+  /** The incarnation of this entry that requested the takeover. */
+  EntryIdentity owner;
   /** Fenced incarnations by entry; they include all former owners. */
   std::map<EntryId, Incarnation> fences;
   /** The table's sequence number when the submission was first claimed. */
--- a/Libraries/LibDispatch/DispatcherTakeover.cpp
+++ b/Libraries/LibDispatch/DispatcherTakeover.cpp
@@ -112,6 +112,11 @@
                         const ClaimTakenOver& aTakenOver,
                         MonotonicTime aNow)
 {
+  if (aTakenOver.owner != self_) {
+    // The incarnation that requested the takeover has been fenced since.
+    return OnClaimHeld(
+      aSubmission, { aTakenOver.owner, aSubmission.request.digest }, aNow);
+  }
   aSubmission.phase = SubmissionPhase::TakingOver;
   bool isStartRecordLost =
     std::any_of(aTakenOver.upstreams.begin(),
--- a/Libraries/LibPlatform/OperationBatcher.cpp
+++ b/Libraries/LibPlatform/OperationBatcher.cpp
@@ -277,7 +277,9 @@
     // The takeover took effect in an earlier round. The agents read now
     // therefore include all that registered before the takeover, and agents
     // that register later receive the fence when they register.
-    dispatch::ClaimTakenOver taken{ aRound.fences, value->firstSequence, {} };
+    dispatch::ClaimTakenOver taken{
+      aOperation.self, aRound.fences, value->firstSequence, {}
+    };
     for (const auto& [rowKey, upstream] : aRound.rows) {
       if (rowKey.starts_with(kUpstreamPrefix) &&
           upstream.version != kAbsentVersion) {
