LibDispatch: Don't await a task from an agent that was replaced in a takeover

Callers could have a task run twice, or be told "not run" at the deadline, after their entry was lost and an agent restarted within the takeover.

Cause: an agent reports a task as running; its next incarnation says hello before the last agent has reported. The task then counted as sent to the new incarnation, which truly never received it. At the next link it said so, and the entry placed the task again.

A hello of a new incarnation now drops what the earlier one reported as running in open rounds, so that these submissions end as "may have run". Results that came with the report are kept, and other submissions of the round go on.

--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -235,6 +235,8 @@
                    MonotonicTime aNow);
   void StartRound(MonotonicTime aNow);
   void FinishRounds(MonotonicTime aNow);
+  /** The agent that reported these tasks as running has been replaced. */
+  void DropFoundTasks(const UpstreamId& aUpstream);
   void ResolveTakeover(Submission& aSubmission,
                        const FenceRound& aRound,
                        MonotonicTime aNow);
--- a/Libraries/LibDispatch/DispatcherAgents.cpp
+++ b/Libraries/LibDispatch/DispatcherAgents.cpp
@@ -24,6 +24,7 @@
   bool isNewIncarnation = record.hello.incarnation != aHello.incarnation;
   if (isNewIncarnation) {
     HandleLostTasks(record, aNow);
+    DropFoundTasks(aHello.upstream);
     record.serviceTimes.clear();
     record.setAside = false;
     record.registered = false;
--- a/Libraries/LibDispatch/DispatcherTakeover.cpp
+++ b/Libraries/LibDispatch/DispatcherTakeover.cpp
@@ -222,6 +222,20 @@
   }
 }
 
+void
+Dispatcher::DropFoundTasks(const UpstreamId& aUpstream)
+{
+  for (auto& round : rounds_) {
+    for (auto& [key, task] : round.found) {
+      bool isRunningThere =
+        task.upstream == aUpstream && task.state == FoundTask::State::Running;
+      if (isRunningThere) {
+        task.state = FoundTask::State::ResultDropped;
+      }
+    }
+  }
+}
+
 void
 Dispatcher::ResolveTakeover(Submission& aSubmission,
                             const FenceRound& aRound,
--- a/Tests/LibDispatch/DispatcherTest.cpp
+++ b/Tests/LibDispatch/DispatcherTest.cpp
@@ -120,6 +120,27 @@
 }
 }
 
+TEST_CASE("a task that ran at an agent's lost incarnation is placed again "
+          "after a takeover")
+{
+  Fixture fixture;
+  fixture.Hello("u1", 1);
+  fixture.Hello("u2", 1);
+  fixture.SubmitOfLostOwner();
+  fixture.OnTakenOver({ RowOf("u1"), RowOf("u2") });
+  REQUIRE(fixture.fences.size() == 2);
+  auto round = fixture.fences[0].round;
+  fixture.Receive(
+    "u1", protocol::FenceReport{ round, { { kSubmission, 0 } }, {}, {} });
+  fixture.Hello("u1", 2);
+  fixture.Receive("u2", protocol::FenceReport{ round, {}, {}, {} });
+  auto outstanding = fixture.Hello("u1", 2);
+  fixture.Receive("u1", protocol::Reconcile{ outstanding });
+  CHECK(fixture.starts.empty());
+  REQUIRE(fixture.recorded.size() == 1);
+  CHECK(fixture.recorded[0].state == AnswerState::MayHaveRun);
+}
+
 TEST_CASE("a claim that was taken over for a fenced incarnation is run by the "
           "next one")
 {
