LibDispatch: Remember that a repeatable request was sent by a fenced entry

Callers of idempotent requests could be told "not run" though a task had started.

Cause: a fenced entry begins a new incarnation and forgets where its repeatable requests were sent. The links close after that, so OnAgentDown() finds nothing to mark as lost. At the deadline no task was out and none had run.

Evidence: the test failed before (state "not run" for a request that was sent).

A request with a sent task now counts as one that has run, as it does when its link closes.

--- a/Libraries/LibDispatch/DispatcherTakeover.cpp
+++ b/Libraries/LibDispatch/DispatcherTakeover.cpp
@@ -327,9 +327,11 @@
     if (!wasRunning && !wasTakingOver) {
       continue;
     }
+    bool wasSent = false;
     for (std::uint32_t i = 0; i < submission.tasks.size(); ++i) {
       auto& task = submission.tasks[i];
       if (task.phase == TaskPhase::Sent) {
+        wasSent = true;
         ready_.OnEnded(submission.request.team);
       }
       if (task.phase == TaskPhase::Waiting) {
@@ -345,6 +347,7 @@
       submission.phase = SubmissionPhase::Following;
       port_.PollClaim(id);
     } else {
+      submission.hasRun = submission.hasRun || wasSent;
       BeginRunning(submission, aNow);
     }
   }
--- a/Tests/LibDispatch/DispatcherTest.cpp
+++ b/Tests/LibDispatch/DispatcherTest.cpp
@@ -120,6 +120,19 @@
 }
 }
 
+TEST_CASE("a repeatable request that was sent before its entry began anew is "
+          "answered as not run")
+{
+  Fixture fixture;
+  fixture.Hello("u1", 1);
+  fixture.Submit(Durability::Repeatable);
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.dispatcher.StartNewIncarnation(Incarnation(2), fixture.now);
+  fixture.Advance(Milliseconds(40'000));
+  REQUIRE(fixture.delivered.size() == 1);
+  CHECK(fixture.delivered[0].state != AnswerState::NotRun);
+}
+
 TEST_CASE("a task that ran at an agent's lost incarnation is placed again "
           "after a takeover")
 {
