LibDispatch: Ignore the frames of an entry's earlier incarnation

A fenced entry process that resumed late could start tasks of submissions that others had answered as "not run" or run themselves.

Cause: an agent with a link to an entry's later incarnation ignored the Welcome of the earlier one, but not its frames: the late link took the place of the good one, and its starts were judged as the later incarnation's, which no fence covers.

AgentCore now has no session after such a Welcome. AgentApp closes the late link and keeps the good one; this part is built, but no test runs it.

--- a/Libraries/LibDispatch/AgentCore.cpp
+++ b/Libraries/LibDispatch/AgentCore.cpp
@@ -23,17 +23,24 @@
 void
 AgentCore::OnWelcome(const protocol::Welcome& aWelcome)
 {
-  auto known = sessions_.find(aWelcome.entry);
-  if (known != sessions_.end() &&
-      known->second.incarnation > aWelcome.incarnation) {
-    // An earlier incarnation of this entry resumed late; its frames are
-    // ignored.
+  if (IsOutdated(aWelcome)) {
+    // An earlier incarnation of this entry resumed late. Without a session its
+    // frames are ignored.
+    sessions_.erase(aWelcome.entry);
     return;
   }
   sessions_[aWelcome.entry] = { aWelcome.incarnation, {} };
   Reconcile(aWelcome);
 }
 
+bool
+AgentCore::IsOutdated(const protocol::Welcome& aWelcome) const
+{
+  auto known = sessions_.find(aWelcome.entry);
+  return known != sessions_.end() &&
+         known->second.incarnation > aWelcome.incarnation;
+}
+
 void
 AgentCore::Reconcile(const protocol::Welcome& aWelcome)
 {
--- a/Libraries/LibDispatch/AgentCore.h
+++ b/Libraries/LibDispatch/AgentCore.h
@@ -39,6 +39,8 @@
 
   /** Handles the entry's part of the handshake on a new link. */
   void OnWelcome(const protocol::Welcome& aWelcome);
+  /** Whether a later incarnation of the entry has a link. */
+  bool IsOutdated(const protocol::Welcome& aWelcome) const;
   void OnLinkDown(const EntryId& aEntry);
 
   /**
--- a/Services/Agent/AgentApp.cpp
+++ b/Services/Agent/AgentApp.cpp
@@ -311,6 +311,10 @@
                     Session& aSession,
                     const protocol::Welcome& aWelcome)
 {
+  if (core_.IsOutdated(aWelcome)) {
+    linkManager_.Close(aLink);
+    return;
+  }
   auto previous = linkByEntry_.find(aWelcome.entry);
   if (previous != linkByEntry_.end() && previous->second != aLink) {
     // Only one link per entry is kept. Reconcile relies on no more frames
--- a/Tests/LibDispatch/AgentCoreTest.cpp
+++ b/Tests/LibDispatch/AgentCoreTest.cpp
@@ -134,3 +134,17 @@
   fixture.EndTask(next);
   CHECK(fixture.ResendHeld(kFormerOwner) == 2);
 }
+
+TEST_CASE("a fenced incarnation starts a task by a link that opens late")
+{
+  Fixture fixture;
+  auto next = Fixture::MakeWelcome(kFormerOwner);
+  next.incarnation = Incarnation(2);
+  fixture.core.OnWelcome(next);
+  protocol::Fence fence;
+  fence.fences.emplace(kFormerOwner, Incarnation(1));
+  fixture.Receive(kNewOwner, fence);
+  fixture.core.OnWelcome(Fixture::MakeWelcome(kFormerOwner));
+  fixture.StartTask("s1", Milliseconds(5000));
+  CHECK(fixture.started.empty());
+}
