--- a/Libraries/LibDispatch/DispatcherTakeover.cpp
+++ b/Libraries/LibDispatch/DispatcherTakeover.cpp
@@ -112,6 +112,11 @@
                         const ClaimTakenOver& aTakenOver,
                         MonotonicTime aNow)
 {
+  if (aTakenOver.owner != self_) {
+    // The incarnation that requested the takeover has been fenced since.
+    return OnClaimHeld(
+      aSubmission, { aTakenOver.owner, aSubmission.request.digest }, aNow);
+  }
   aSubmission.phase = SubmissionPhase::TakingOver;
   bool isStartRecordLost =
     std::any_of(aTakenOver.upstreams.begin(),
@@ -217,6 +222,20 @@
   }
 }
 
+void
+Dispatcher::DropFoundTasks(const UpstreamId& aUpstream)
+{
+  for (auto& round : rounds_) {
+    for (auto& [key, task] : round.found) {
+      bool isRunningThere =
+        task.upstream == aUpstream && task.state == FoundTask::State::Running;
+      if (isRunningThere) {
+        task.state = FoundTask::State::ResultDropped;
+      }
+    }
+  }
+}
+
 void
 Dispatcher::ResolveTakeover(Submission& aSubmission,
                             const FenceRound& aRound,
@@ -308,9 +327,11 @@
     if (!wasRunning && !wasTakingOver) {
       continue;
     }
+    bool wasSent = false;
     for (std::uint32_t i = 0; i < submission.tasks.size(); ++i) {
       auto& task = submission.tasks[i];
       if (task.phase == TaskPhase::Sent) {
+        wasSent = true;
         ready_.OnEnded(submission.request.team);
       }
       if (task.phase == TaskPhase::Waiting) {
@@ -326,6 +347,7 @@
       submission.phase = SubmissionPhase::Following;
       port_.PollClaim(id);
     } else {
+      submission.hasRun = submission.hasRun || wasSent;
       BeginRunning(submission, aNow);
     }
   }
