--- a/Tests/LibJob/RefusedJobTest.cpp
+++ b/Tests/LibJob/RefusedJobTest.cpp
@@ -7,7 +7,6 @@
 using namespace vanillaworks;
 using namespace vanillaworks::tests;
 using job::EndKind;
-using job::StartResult;
 using protocol::RunOutcome;
 
 namespace {
@@ -65,9 +64,7 @@
 {
   TaskOfTwoEntries()
   {
-    Adopt();
-    Order(1);
-    supervisor.OnStartAnswered(Key(0), token, StartResult::Started, now);
+    StartRun();
     AdvanceTime(Milliseconds(10));
     Link({});
     protocol::RunOrder order;
@@ -133,10 +130,7 @@
 TEST_CASE("a run that ended isn't denied after its report is lost twice")
 {
   RunSupervisorFixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   fixture.AnswerHold(
     fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Done } }));
   // Each link breaks again before it has brought the report to the entry.
--- a/Tests/LibJob/RunBeliefsTest.cpp
+++ b/Tests/LibJob/RunBeliefsTest.cpp
@@ -49,10 +49,7 @@
 TEST_CASE("a lost answer to a blocked order doesn't become a denial")
 {
   TwoEntryFixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   fixture.AdvanceTime(Milliseconds(10));
   fixture.LinkOther({});
   fixture.OrderOf(kOther, 1);
@@ -70,10 +67,7 @@
 TEST_CASE("a crash after a silence is known on a new link")
 {
   TwoEntryFixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   // Silent until the leases are over.
   for (int i = 0; i < 50; ++i) {
     fixture.AdvanceTime(Milliseconds(50));
--- a/Tests/LibJob/RunEvidenceTest.cpp
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -14,9 +14,7 @@
 {
   ActiveRun()
   {
-    Adopt();
-    Order(1);
-    supervisor.OnStartAnswered(Key(0), token, StartResult::Started, now);
+    StartRun();
     AdvanceTime(Milliseconds(30));
   }
 };
--- a/Tests/LibJob/RunSupervisorFixture.h
+++ b/Tests/LibJob/RunSupervisorFixture.h
@@ -90,6 +90,13 @@
     supervisor.OnRunnerReport(Report(), now);
     AnswerHold(Answer());
   }
+  /** Brings about one run that the runner has confirmed. */
+  void StartRun()
+  {
+    Adopt();
+    Order(1);
+    supervisor.OnStartAnswered(Key(0), token, job::StartResult::Started, now);
+  }
   void Revalidate()
   {
     supervisor.OnResume({ kEntry, Incarnation(1), {} }, now);
--- a/Tests/LibJob/RunSupervisorTest.cpp
+++ b/Tests/LibJob/RunSupervisorTest.cpp
@@ -18,10 +18,7 @@
 {
   auto outcomeAfter = [](Milliseconds aWithoutContact) {
     Fixture fixture;
-    fixture.Adopt();
-    fixture.Order(1);
-    fixture.supervisor.OnStartAnswered(
-      fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+    fixture.StartRun();
     fixture.AdvanceTime(Milliseconds(100));
     fixture.AnswerHold(
       fixture.Answer({}, { { 1, fixture.Key(0), EndKind::Done } }));
@@ -134,10 +131,7 @@
 TEST_CASE("runs are stopped after contact with their entry is lost")
 {
   Fixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   fixture.AdvanceTime(Milliseconds(900));
   fixture.supervisor.OnTick(fixture.now);
   CHECK(fixture.stops.empty());
@@ -374,10 +368,7 @@
 TEST_CASE("a new incarnation of the runner ends the runs of the earlier one")
 {
   Fixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   auto formerToken = fixture.token;
   fixture.startedMs += 5000;
   fixture.clockMs = 10;
@@ -408,10 +399,7 @@
 TEST_CASE("a runner's next incarnation is fenced before it has reported")
 {
   Fixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   auto formerToken = fixture.token;
   auto reportsSaved = fixture.saved.size();
   fixture.startedMs += 5000;
@@ -492,10 +480,7 @@
 TEST_CASE("a runner that refuses connections is called every 50 ms")
 {
   Fixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   int holdCalls = 0;
   for (int i = 0; i < 100; ++i) {
     auto holds = std::move(fixture.holds);
@@ -562,10 +547,7 @@
 TEST_CASE("hold and stop calls that fail at once are not repeated at once")
 {
   Fixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   fixture.AnswerHold({});
   CHECK(fixture.holds.empty());
   fixture.AdvanceTime(Milliseconds(25));
@@ -599,10 +581,7 @@
 TEST_CASE("a run without progress is stopped and reported as stuck")
 {
   Fixture fixture;
-  fixture.Adopt();
-  fixture.Order(1);
-  fixture.supervisor.OnStartAnswered(
-    fixture.Key(0), fixture.token, StartResult::Started, fixture.now);
+  fixture.StartRun();
   for (int i = 0; i < 10 && fixture.stops.empty(); ++i) {
     fixture.AdvanceTime(Milliseconds(50));
     fixture.supervisor.OnRevalidated(kEntry, fixture.now);
