--- /dev/null
+++ b/review/second/Cases.h
@@ -0,0 +1,20 @@
+#ifndef review_second_Cases_h
+#define review_second_Cases_h
+
+#include <string>
+
+namespace vanillaworks::review {
+
+inline constexpr int kRuleHeld = 0;
+inline constexpr int kRuleBroken = 1;
+inline constexpr int kCouldNotRun = 2;
+
+/** Plays the case of this name and writes aFolder's record.txt. */
+int
+PlayCase(const std::string& aName,
+         const std::string& aFolder,
+         bool aHasTrouble);
+
+}
+
+#endif
