--- a/review/second/Store.cpp
+++ b/review/second/Store.cpp
@@ -41,6 +41,13 @@
 {
 }
 
+Store::~Store()
+{
+  std::scoped_lock lock(mutex_);
+  isOver_ = true;
+  changed_.notify_all();
+}
+
 void
 Store::PutAsOperator(const std::string& aKey, const Json& aValue)
 {
@@ -166,7 +173,7 @@
         rows[row.version] = ToJson(key, row);
       }
     }
-    return !rows.empty();
+    return isOver_ || !rows.empty();
   };
   changed_.wait_for(lock, wait, select);
   auto body = CommonFields();
--- a/review/second/Store.h
+++ b/review/second/Store.h
@@ -21,6 +21,9 @@
   using Json = nlohmann::json;
 
   explicit Store(const Address& aAddress);
+  ~Store();
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
 
   bool IsListening() const { return server_.IsListening(); }
   /** Writes a row of the table "op" as the operator. */
@@ -47,6 +50,7 @@
   std::condition_variable changed_;
   std::map<Key, Row> rows_;
   std::uint64_t version_ = 0;
+  bool isOver_ = false;
   HttpServer server_;
 };
 
