--- a/review/second/Cases.cpp
+++ b/review/second/Cases.cpp
@@ -150,7 +150,10 @@
   deployment.EndRunner(0);
   SleepMs(kDownMs);
   aRecord.Write("runner-0 starts again under its id, with 16 cores");
-  deployment.StartRunner(0, kSmallCpu, aHasTrouble ? 1 : 0);
+  RunnerOptions next;
+  next.cpu = kSmallCpu;
+  next.lateHolds = aHasTrouble ? 1 : 0;
+  deployment.StartRunner(0, next);
   SleepMs(150);
   for (int i = 0; i < 3; ++i) {
     auto id = "5c0e7a21d94b36f" + std::to_string(i);
@@ -191,39 +194,60 @@
   return CountOverlaps(aRecord) == 0 ? kRuleHeld : kRuleBroken;
 }
 
-/** Another writer sends a report in which fields are missing. */
+/** The runner that a run of the job has ended on; nothing if there is none. */
+std::optional<std::size_t>
+RunnerOfEndedRun(const Record& aRecord, const std::string& aJob)
+{
+  for (const auto& run : aRecord.Runs()) {
+    if (run.task.starts_with(aJob) && run.endedMs != 0) {
+      return std::stoul(run.runner.substr(run.runner.find('-') + 1));
+    }
+  }
+  return {};
+}
+
+/**
+ * A start that got no answer is carried out by the runner's next life under the
+ * same id, which leaves its agent's first call unanswered too.
+ */
 int
-ReportWithFieldsMissing(Record& aRecord, bool aHasTrouble)
+LateStartInNextLife(Record& aRecord, bool aHasTrouble)
 {
-  constexpr std::int64_t kWorkMs = 200;
-  constexpr std::int64_t kDeadlineMs = 1500;
-  constexpr std::int64_t kOtherCpu = 256'000;
-  Deployment deployment({ 1, 1, kDeadlineMs }, aRecord);
+  constexpr std::int64_t kWorkMs = 3000;
+  constexpr std::int64_t kDeadlineMs = 6000;
+  constexpr std::int64_t kDownMs = 1300;
+  const std::string id = "5c0e7a21d94b36f8";
+  Deployment deployment({ 1, 2, kDeadlineMs }, aRecord);
   if (!deployment.WaitUntilReady()) {
     return kCouldNotRun;
   }
-  if (aHasTrouble) {
-    auto report = deployment.RunnerAt(0).NextReport();
-    for (const auto* field : { "version", "slots", "coldRemainingMs" }) {
-      report.erase(field);
-    }
-    report["capacity"]["cpu"] = kOtherCpu;
-    aRecord.Write("another writer reports without some fields: " +
-                  report.dump());
-    auto answer =
-      Call(deployment.Control(0),
-           { "POST", "/Instances.Heartbeat/i-7f3a91c0", {}, report.dump() },
-           kDeadlineMs);
-    aRecord.Write("it is answered " + std::to_string(answer.status));
-  }
-  SleepMs(100);
-  auto job =
-    deployment.JobRequest("POST", "5c0e7a21d94b36f8", 20, kWorkMs, kDeadlineMs);
-  aRecord.Write("a client sends a job of 20 tasks");
-  auto answer = Call(deployment.Front(0), job, kDeadlineMs);
-  aRecord.Write("it is answered " + std::to_string(answer.status) + " " +
-                answer.body);
-  return deployment.RunnerAt(0).WentOver() ? kRuleBroken : kRuleHeld;
+  {
+    auto& trouble = deployment.RunnersTrouble();
+    std::scoped_lock lock(trouble.mutex);
+    trouble.failures = 1;
+    trouble.unansweredStarts = aHasTrouble ? 1 : 0;
+  }
+  auto job = deployment.JobRequest("POST", id, 1, kWorkMs, kDeadlineMs);
+  aRecord.Write("a client sends a job of 1 task");
+  HttpCall call(deployment.Front(0), job);
+  SleepMs(300);
+  auto index = RunnerOfEndedRun(aRecord, id);
+  if (!index) {
+    return kCouldNotRun;
+  }
+  SleepMs(400);
+  aRecord.Write("the runner of the failed run crashes");
+  deployment.EndRunner(*index);
+  SleepMs(kDownMs);
+  aRecord.Write("it starts again under its id");
+  RunnerOptions next;
+  next.lateHolds = aHasTrouble ? 1 : 0;
+  next.carriesOutAfterMs = 200;
+  deployment.StartRunner(*index, next);
+  auto answer = call.Await(kDeadlineMs);
+  aRecord.Write("the client is answered " + std::to_string(answer.status) +
+                " " + answer.body);
+  return CountOverlaps(aRecord) == 0 ? kRuleHeld : kRuleBroken;
 }
 }
 
@@ -236,7 +260,7 @@
     { "repeat-after-cancel", &RepeatAfterCancel },
     { "reborn-smaller", &RebornSmaller },
     { "foreign-service", &ForeignService },
-    { "report-with-fields-missing", &ReportWithFieldsMissing }
+    { "late-start-in-next-life", &LateStartInNextLife }
   };
   auto found = cases.find(aName);
   if (found == cases.end()) {
--- a/review/second/Deployment.cpp
+++ b/review/second/Deployment.cpp
@@ -254,19 +254,17 @@
 }
 
 void
-Deployment::StartRunner(std::size_t aIndex, std::int64_t aCpu, int aLateHolds)
+Deployment::StartRunner(std::size_t aIndex, RunnerOptions aOptions)
 {
   auto host = kFirstWorkerHost + aIndex;
-  RunnerOptions options;
-  options.machine = MachineOf(aIndex);
-  options.id = "i-7f3a91c" + std::to_string(aIndex);
-  options.cpu = aCpu;
-  options.lateHolds = aLateHolds;
-  options.service = kService;
-  options.zone = ZoneOf(aIndex);
-  options.address = At(host, kAppPort);
-  options.agent = At(host, kReportProxyPort);
-  runners_[aIndex] = std::make_unique<Runner>(options, record_);
+  aOptions.trouble = trouble_;
+  aOptions.machine = MachineOf(aIndex);
+  aOptions.id = "i-7f3a91c" + std::to_string(aIndex);
+  aOptions.service = kService;
+  aOptions.zone = ZoneOf(aIndex);
+  aOptions.address = At(host, kAppPort);
+  aOptions.agent = At(host, kReportProxyPort);
+  runners_[aIndex] = std::make_unique<Runner>(std::move(aOptions), record_);
 }
 
 void
@@ -274,6 +272,7 @@
 {
   auto host = kFirstWorkerHost + aIndex;
   RunnerOptions options;
+  options.trouble = trouble_;
   options.machine = "foreign";
   options.id = "x-55d1";
   options.service = "not-named";
--- a/review/second/Deployment.h
+++ b/review/second/Deployment.h
@@ -46,7 +46,6 @@
   static constexpr const char* kHost = "nony24.example";
   static constexpr const char* kPrefix = "/lohu930/";
   static constexpr const char* kService = "huvo11a";
-  static constexpr std::int64_t kDefaultCpu = 64'000;
 
   Deployment(DeploymentOptions aOptions, Record& aRecord);
   ~Deployment();
@@ -61,10 +60,8 @@
 
   void StartEntry(std::size_t aIndex);
   void StartAgent(std::size_t aIndex);
-  /** Starts a life of the runner; aLateHolds: see RunnerOptions. */
-  void StartRunner(std::size_t aIndex,
-                   std::int64_t aCpu = kDefaultCpu,
-                   int aLateHolds = 0);
+  /** Starts a life of the runner, with the trouble that aOptions has. */
+  void StartRunner(std::size_t aIndex, RunnerOptions aOptions = {});
   void EndRunner(std::size_t aIndex) { runners_[aIndex].reset(); }
   Process& Entry(std::size_t aIndex) { return *entries_[aIndex]; }
   Process& Agent(std::size_t aIndex) { return *agents_[aIndex]; }
@@ -78,6 +75,7 @@
   void StartForeignRunner(std::size_t aIndex);
   /** Where the agent takes reports. */
   Address Control(std::size_t aIndex) const;
+  Trouble& RunnersTrouble() { return *trouble_; }
   /** On the runner's way to its agent. */
   Proxy& ReportProxy(std::size_t aIndex) { return *reportProxies_[aIndex]; }
   /** On the clients' way to the entry. */
@@ -108,6 +106,7 @@
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Proxy>> reportProxies_;
   std::vector<std::unique_ptr<Proxy>> frontProxies_;
+  std::shared_ptr<Trouble> trouble_ = std::make_shared<Trouble>();
   std::vector<std::unique_ptr<Runner>> runners_;
   std::unique_ptr<Runner> foreignRunner_;
   std::vector<std::unique_ptr<Process>> agents_;
--- a/review/second/Runner.cpp
+++ b/review/second/Runner.cpp
@@ -22,6 +22,7 @@
 constexpr std::int64_t kTaskCpu = 6200;
 /** A call without an answer may be carried out so much later. */
 constexpr std::int64_t kLateMs = 2500;
+constexpr std::int64_t kFailAfterMs = 200;
 }
 
 Runner::Runner(RunnerOptions aOptions, Record& aRecord)
@@ -165,6 +166,9 @@
   }
   Advance();
   if (aRequest.path == "/run-start") {
+    if (LeavesUnanswered(body)) {
+      return {};
+    }
     return OnStart(body);
   }
   if (aRequest.path == "/run-stop") {
@@ -191,6 +195,43 @@
   return OnHold(body);
 }
 
+bool
+Runner::LeavesUnanswered(const Json& aBody)
+{
+  auto& trouble = *options_.trouble;
+  std::scoped_lock lock(trouble.mutex);
+  if (trouble.unansweredStarts == 0) {
+    return false;
+  }
+  --trouble.unansweredStarts;
+  trouble.lateStarts.push_back(aBody);
+  record_.Write(options_.machine + " leaves a start unanswered");
+  return true;
+}
+
+bool
+Runner::WillFail()
+{
+  auto& trouble = *options_.trouble;
+  std::scoped_lock lock(trouble.mutex);
+  return trouble.failures > 0 && trouble.failures-- > 0;
+}
+
+void
+Runner::CarryOutLateStarts()
+{
+  std::vector<Json> bodies;
+  {
+    std::scoped_lock lock(options_.trouble->mutex);
+    bodies.swap(options_.trouble->lateStarts);
+  }
+  for (const auto& body : bodies) {
+    auto response = OnStart(body);
+    record_.Write(options_.machine + " carries out a late start: " +
+                  std::to_string(response.status) + " " + response.body);
+  }
+}
+
 HttpResponse
 Runner::Refuse(const std::string& aReason) const
 {
@@ -239,6 +280,7 @@
   running_[key] = { record_.OnStarted(options_.machine, key.first, key.second),
                     NowMs(),
                     work };
+  running_[key].fails = WillFail();
   auto used = static_cast<std::int64_t>(running_.size()) * kTaskCpu;
   if (used > options_.cpu) {
     wentOver_ = true;
@@ -305,14 +347,15 @@
 void
 Runner::Advance()
 {
-  std::vector<Key> done;
+  std::vector<Key> over;
   for (const auto& [key, task] : running_) {
-    if (NowMs() - task.startedMs >= task.workMs) {
-      done.push_back(key);
+    auto time = task.fails ? kFailAfterMs : task.workMs;
+    if (NowMs() - task.startedMs >= time) {
+      over.push_back(key);
     }
   }
-  for (const auto& key : done) {
-    EndTask(key, "done");
+  for (const auto& key : over) {
+    EndTask(key, running_.at(key).fails ? "failed" : "done");
   }
   if (ClockMs() <= leaseUntilMs_) {
     return;
@@ -325,11 +368,17 @@
 void
 Runner::Work()
 {
+  auto carriesOutAfterMs = options_.carriesOutAfterMs;
   while (!isOver_) {
     SleepMs(kStepMs);
     std::scoped_lock lock(mutex_);
-    if (!isOver_) {
-      Advance();
+    if (isOver_) {
+      return;
+    }
+    Advance();
+    if (carriesOutAfterMs && ClockMs() >= *carriesOutAfterMs) {
+      carriesOutAfterMs.reset();
+      CarryOutLateStarts();
     }
   }
 }
--- a/review/second/Runner.h
+++ b/review/second/Runner.h
@@ -6,12 +6,25 @@
 
 #include <condition_variable>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
 namespace vanillaworks::review {
 
+/** What goes wrong at any of a deployment's runners. Guarded by its mutex. */
+struct Trouble
+{
+  std::mutex mutex;
+  /** So many starts get no answer. */
+  int unansweredStarts = 0;
+  /** These are still to be carried out. */
+  std::vector<nlohmann::json> lateStarts;
+  /** So many runs fail. */
+  int failures = 0;
+};
+
 struct RunnerOptions
 {
   /** Its machine; the same for all of its lives. */
@@ -29,6 +42,10 @@
    * late.
    */
   int lateHolds = 0;
+  /** Not null. */
+  std::shared_ptr<Trouble> trouble;
+  /** When this life carries out late starts, after its own start, if at all. */
+  std::optional<std::int64_t> carriesOutAfterMs;
 };
 
 /**
@@ -66,6 +83,7 @@
     std::size_t record = 0;
     std::int64_t startedMs = 0;
     std::int64_t workMs = 0;
+    bool fails = false;
   };
   /** Name and number. */
   using Key = std::pair<std::string, std::uint32_t>;
@@ -87,6 +105,10 @@
   void Advance();
   bool Report();
   void Work();
+  bool WillFail();
+  /** Keeps the start for later if it is to get no answer. */
+  bool LeavesUnanswered(const Json& aBody);
+  void CarryOutLateStarts();
   std::int64_t ClockMs() const { return NowMs() - bornAtMs_ + 1; }
   Json CommonFields() const;
 
