--- a/review/second/Cases.cpp
+++ b/review/Cases-2.cpp
@@ -1,6 +1,6 @@
-#include "review/second/Cases.h"
+#include "review/Cases-2.h"
 
-#include "review/second/Deployment.h"
+#include "review/Deployment-2.h"
 
 #include <functional>
 #include <map>
--- a/review/second/Cases.h
+++ b/review/Cases-2.h
@@ -1,5 +1,5 @@
-#ifndef review_second_Cases_h
-#define review_second_Cases_h
+#ifndef review_Cases_2_h
+#define review_Cases_2_h
 
 #include <string>
 
--- a/review/second/Deployment.cpp
+++ b/review/Deployment-2.cpp
@@ -1,4 +1,4 @@
-#include "review/second/Deployment.h"
+#include "review/Deployment-2.h"
 
 #include <algorithm>
 #include <csignal>
--- a/review/second/Deployment.h
+++ b/review/Deployment-2.h
@@ -1,9 +1,9 @@
-#ifndef review_second_Deployment_h
-#define review_second_Deployment_h
+#ifndef review_Deployment_2_h
+#define review_Deployment_2_h
 
-#include "review/second/Proxy.h"
-#include "review/second/Runner.h"
-#include "review/second/Store.h"
+#include "review/Proxy-2.h"
+#include "review/Runner-2.h"
+#include "review/Store-2.h"
 
 #include <memory>
 #include <optional>
--- a/review/second/Http.cpp
+++ b/review/Http-2.cpp
@@ -1,4 +1,4 @@
-#include "review/second/Http.h"
+#include "review/Http-2.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/review/second/Http.h
+++ b/review/Http-2.h
@@ -1,5 +1,5 @@
-#ifndef review_second_Http_h
-#define review_second_Http_h
+#ifndef review_Http_2_h
+#define review_Http_2_h
 
 #include <atomic>
 #include <cstdint>
--- a/review/second/Main.cpp
+++ b/review/Main-2.cpp
@@ -1,4 +1,4 @@
-#include "review/second/Cases.h"
+#include "review/Cases-2.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/second/Proxy.cpp
+++ b/review/Proxy-2.cpp
@@ -1,4 +1,4 @@
-#include "review/second/Proxy.h"
+#include "review/Proxy-2.h"
 
 #include <array>
 #include <poll.h>
--- a/review/second/Proxy.h
+++ b/review/Proxy-2.h
@@ -1,7 +1,7 @@
-#ifndef review_second_Proxy_h
-#define review_second_Proxy_h
+#ifndef review_Proxy_2_h
+#define review_Proxy_2_h
 
-#include "review/second/Http.h"
+#include "review/Http-2.h"
 
 namespace vanillaworks::review {
 
--- a/review/second/Record.cpp
+++ b/review/Record-2.cpp
@@ -1,6 +1,6 @@
-#include "review/second/Record.h"
+#include "review/Record-2.h"
 
-#include "review/second/Http.h"
+#include "review/Http-2.h"
 
 namespace vanillaworks::review {
 
--- a/review/second/Record.h
+++ b/review/Record-2.h
@@ -1,5 +1,5 @@
-#ifndef review_second_Record_h
-#define review_second_Record_h
+#ifndef review_Record_2_h
+#define review_Record_2_h
 
 #include <cstdint>
 #include <fstream>
--- a/review/second/Runner.cpp
+++ b/review/Runner-2.cpp
@@ -1,4 +1,4 @@
-#include "review/second/Runner.h"
+#include "review/Runner-2.h"
 
 #include <algorithm>
 #include <chrono>
--- a/review/second/Runner.h
+++ b/review/Runner-2.h
@@ -1,8 +1,8 @@
-#ifndef review_second_Runner_h
-#define review_second_Runner_h
+#ifndef review_Runner_2_h
+#define review_Runner_2_h
 
-#include "review/second/Http.h"
-#include "review/second/Record.h"
+#include "review/Http-2.h"
+#include "review/Record-2.h"
 
 #include <condition_variable>
 #include <map>
--- a/review/second/Store.cpp
+++ b/review/Store-2.cpp
@@ -1,4 +1,4 @@
-#include "review/second/Store.h"
+#include "review/Store-2.h"
 
 #include <chrono>
 
--- a/review/second/Store.h
+++ b/review/Store-2.h
@@ -1,7 +1,7 @@
-#ifndef review_second_Store_h
-#define review_second_Store_h
+#ifndef review_Store_2_h
+#define review_Store_2_h
 
-#include "review/second/Http.h"
+#include "review/Http-2.h"
 
 #include <condition_variable>
 #include <map>
