LibJob: Take no announced shutdown for the end of a runner's runs

Hypotheses before any change, and what each predicts in the agent's log: 1. the agent takes the announcement for the end of the runs: RunEnded with evidence runner_left and no stop reason, in the same millisecond as RunnerLeft, before the entry's TaskPlaced of run 2; 2. it takes the runner's silence for it: runner_silent, a lease (1.07 s) later; 3. its contact with the entry is lost, or the entry gives the runs up: stop_reason entry_lost, not_awaited or cancelled, and calls to stop; 4. the entry places the tasks again without any end: TaskPlaced before RunEnded. The log of a run shows the first for all six tasks, since_contact_ms 493. Ruled out: the others. The lost answer only makes it long: in virtual time a task runs twice for a moment with all answers received, too.

A run ends when it is listed, when its lease has expired or when another incarnation answers. The agent keeps what it knows of the runner, so that a delayed report from before starts nothing there. RunnerLeft is evidence only together with the next incarnation. RunnerReleased (509) and vanillaworks_unconfirmed_departures_total tell what the answer waited for.

The expectation of RunEvidenceTest.cpp for an announcement (the run has ended at once) was the fault itself. In its place: no event before the next incarnation answers, then the same evidence and outcome.

The soak's runners leave too.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -32,6 +32,7 @@
   X(506, RunnerLeft, "the runner announced that it is shutting down")          \
   X(507, RunnerReportSkipped, "a malformed report of a runner was skipped")    \
   X(508, UpstreamChanged, "an upstream's status changed")                      \
+  X(509, RunnerReleased, "the runner's announcement was answered: it may end") \
   X(600, EntryMemberLapsed, "another entry's lease expired")                   \
   X(602, TakeoverBegun, "the takeover of a lost entry's submission has begun") \
   X(604, Reincarnated, "this entry lost its lease and has a new incarnation")  \
--- a/Libraries/LibJob/RunEvent.h
+++ b/Libraries/LibJob/RunEvent.h
@@ -23,7 +23,9 @@
   EntryLost,
   Stuck,
   /** The start call got no answer. */
-  StartUnconfirmed
+  StartUnconfirmed,
+  /** The runner has announced that it shuts down. */
+  RunnerLeaving
 };
 
 /**
@@ -37,8 +39,9 @@
          aReason == StopReason::NotAwaited || aReason == StopReason::EntryLost;
 }
 
-inline constexpr std::array<std::string_view, 6> kStopReasonNames{
-  "none", "cancelled", "not_awaited", "entry_lost", "stuck", "unconfirmed"
+inline constexpr std::array<std::string_view, 7> kStopReasonNames{
+  "none",  "cancelled",   "not_awaited",   "entry_lost",
+  "stuck", "unconfirmed", "runner_leaving"
 };
 
 /** The reason's text in logs. Thread safe. */
@@ -63,7 +66,7 @@
   NotListed,
   /** Another incarnation of the runner has taken its place. */
   RunnerLost,
-  /** The runner has said that it shuts down. */
+  /** The same, after the runner had announced that it shuts down. */
   RunnerLeft,
   /** The runner was silent until the run's lease had expired. */
   RunnerSilent,
--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -86,6 +86,10 @@
   auto learnedSlowness = runner_->report.learnedSlowness;
   runner_->report = aReport;
   runner_->report.learnedSlowness = learnedSlowness;
+  if (aReport.state == RunnerState::Ready) {
+    // The announcement was that of an earlier incarnation.
+    runner_->isLeaving = false;
+  }
   if (isFirst) {
     port_.SaveReport(runner_->report);
   }
@@ -170,7 +174,12 @@
   // higher token fences off further ones.
   auto arrived = KeysOf(aAnswer);
   ResolveSuspectedLosses(protocol::LossState::Confirmed);
-  EndRunsExcept(arrived, EndEvidence::RunnerLost, aNow);
+  bool hadLeft = runner_ && runner_->isLeaving;
+  EndRunsExcept(
+    arrived, hadLeft ? EndEvidence::RunnerLeft : EndEvidence::RunnerLost, aNow);
+  if (departure_) {
+    ReleaseRunner(aNow);
+  }
   for (const auto& key : arrived) {
     auto found = runs_.find(key);
     if (found != runs_.end()) {
@@ -302,22 +311,6 @@
   RaiseToken(kFencedTokenIncrement);
 }
 
-void
-RunSupervisor::OnRunnerLeft(const std::string& aRunner, MonotonicTime aNow)
-{
-  if (!runner_ || runner_->report.id != aRunner) {
-    return;
-  }
-  EndRunsExcept({}, EndEvidence::RunnerLeft, aNow);
-  ResolveSuspectedLosses(protocol::LossState::Retracted);
-  runner_.reset();
-  pendingHolds_.clear();
-  foreignRuns_.clear();
-  ReturnQueue(protocol::RunOutcome::Leaving, aNow);
-  ++statusRevision_;
-  FlushReports();
-}
-
 RunnerTarget
 RunSupervisor::Target() const
 {
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -86,8 +86,13 @@
    * the agent saved in the store.
    */
   void OnRunnerReport(const RunnerReport& aReport, MonotonicTime aNow);
-  /** Handles the runner's announcement that it shuts down. */
-  void OnRunnerLeft(const std::string& aRunner, MonotonicTime aNow);
+  /**
+   * Handles the runner's announcement that it shuts down, which it does at once
+   * when it is answered, or later without an answer. Stops its runs; the answer
+   * may be sent after RunSupervisorPort::OnRunnerReleased(), which may be
+   * called before this returns.
+   */
+  void OnRunnerLeaving(const std::string& aRunner, MonotonicTime aNow);
 
   void OnStartAnswered(const RunKey& aKey,
                        std::uint64_t aToken,
@@ -119,7 +124,7 @@
 
   /** Begins a graceful stop: returns queued runs and lets active ones end. */
   void BeginStop(MonotonicTime aNow);
-  bool IsIdle() const { return runs_.empty(); }
+  bool IsIdle() const { return runs_.empty() && !departure_; }
   bool HasWorkFor(const EntryId& aEntry) const;
   std::size_t Queued() const { return queue_.size(); }
 
@@ -145,6 +150,8 @@
     std::uint64_t acknowledgedEnd = 0;
     /** The runner has no runs that are unknown to this process. */
     bool isReconciled = false;
+    /** The runner has announced that it shuts down; nothing is started. */
+    bool isLeaving = false;
     /** The runner answers calls; nothing is started while it does not. */
     bool isReachable = true;
     MonotonicTime unreachableSince;
@@ -167,6 +174,14 @@
     /** The call checks whether a reported incarnation is running. */
     bool isVerification;
   };
+  /** An announced shutdown that has not been answered. */
+  struct Departure
+  {
+    std::string runner;
+    MonotonicTime announcedAt;
+    /** Number of runs that may have been active at that time. */
+    std::size_t runs;
+  };
   struct EntrySession
   {
     MonotonicTime revalidatedAt;
@@ -217,6 +232,12 @@
   void EndRunsExcept(const std::set<RunKey>& aKept,
                      EndEvidence aEvidence,
                      MonotonicTime aNow);
+  /**
+   * Releases a leaving runner once all of its runs are known to have ended, or
+   * when its announcement can't wait any longer.
+   */
+  void ReleaseRunnerIfDue(MonotonicTime aNow);
+  void ReleaseRunner(MonotonicTime aNow);
   /** Whether the runner was seen not to answer for a while. */
   bool IsRunnerSilent(MonotonicTime aNow) const;
   /** Tells all entries which runs were at work as the runner was lost. */
@@ -371,6 +392,7 @@
   /** Response times of start calls. */
   ResponseTimeEstimator startResponseTimes_;
   std::optional<RunnerIncarnation> runner_;
+  std::optional<Departure> departure_;
   /**
    * The reported incarnation that is being verified, and the latest report
    * received meanwhile.
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -28,7 +28,8 @@
   }
   bool isAwaitingAnswer =
     !pendingHolds_.empty() && aNow < pendingHolds_.rbegin()->second.overdueAt;
-  if (isAwaitingAnswer) {
+  bool hasLeft = runner_->isLeaving && !departure_ && CountOccupyingRuns() == 0;
+  if (isAwaitingAnswer || hasLeft) {
     return;
   }
   bool isNeeded = CountOccupyingRuns() > 0 || !runner_->isReconciled ||
@@ -58,7 +59,8 @@
   // The runs of an unresponsive runner must lapse, so that their tasks can be
   // placed on other workers.
   bool isResponding = aNow - runner_->lastAnswerAt <= kLeaseRenewalWindow;
-  call.leaseUntilMs = hasRuns && isResponding ? ExtendLease(aNow) : 0;
+  bool mayGoOn = isResponding && !runner_->isLeaving;
+  call.leaseUntilMs = hasRuns && mayGoOn ? ExtendLease(aNow) : 0;
   auto number = nextHoldNumber_++;
   pendingHolds_[number] = { number,
                             aNow,
@@ -116,6 +118,7 @@
   StartQueuedRuns(aNow);
   CallHoldIfNeeded(aNow);
   FlushReports();
+  ReleaseRunnerIfDue(aNow);
 }
 
 void
--- a/Libraries/LibJob/RunSupervisorPort.h
+++ b/Libraries/LibJob/RunSupervisorPort.h
@@ -4,6 +4,7 @@
 #include "LibCore/Ids.h"
 #include "LibJob/RunEvent.h"
 #include "LibJob/RunnerCalls.h"
+#include "LibJob/RunnerReleased.h"
 #include "LibJob/RunnerReport.h"
 #include "LibProtocol/Message.h"
 
@@ -34,6 +35,8 @@
   /** For logs only: this incarnation of the runner is served from now on. */
   virtual void OnRunnerAdopted(const RunnerReport& aReport,
                                std::uint64_t aToken) = 0;
+  /** The announcements of aEvent.runner that it shuts down may be answered. */
+  virtual void OnRunnerReleased(const RunnerReleased& aEvent) = 0;
 };
 
 }
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -276,7 +276,7 @@
   // Without the operators' configuration it is unknown which failure domains
   // are closed.
   return control_.Revision() != 0 && runner_ && runner_->isReconciled &&
-         runner_->isReachable && !isStopping_ &&
+         runner_->isReachable && !isStopping_ && !runner_->isLeaving &&
          runner_->report.state == RunnerState::Ready &&
          !control_.IsClosed(runner_->report.domain);
 }
@@ -299,6 +299,7 @@
     bool isClosed = runner_ && control_.IsClosed(runner_->report.domain);
     bool isReconciling = runner_ && !runner_->isReconciled &&
                          runner_->isReachable && !isStopping_ && !isClosed &&
+                         !runner_->isLeaving &&
                          runner_->report.state == RunnerState::Ready;
     if (!isReconciling) {
       ReturnQueue(isClosed ? protocol::RunOutcome::DomainClosed
@@ -370,9 +371,10 @@
   if (hasLeaseExpired && CountOccupyingRuns() > 0) {
     // The runner has not answered for so long that all leases there have
     // expired. The higher token fences off delayed start calls.
+    bool isLossSuspected = IsRunnerSilent(aNow) && !runner_->isLeaving;
     EndRunsExcept({},
-                  IsRunnerSilent(aNow) ? EndEvidence::RunnerSilent
-                                       : EndEvidence::LeaseExpired,
+                  isLossSuspected ? EndEvidence::RunnerSilent
+                                  : EndEvidence::LeaseExpired,
                   aNow);
     RaiseToken(1);
     ++statusRevision_;
@@ -391,6 +393,7 @@
   StartQueuedRuns(aNow);
   CallHoldIfNeeded(aNow);
   FlushReports();
+  ReleaseRunnerIfDue(aNow);
   while (!recentLosses_.empty() && recentLosses_.front().expires <= aNow) {
     recentLosses_.pop_front();
   }
--- a/Libraries/LibService/MetricsCatalogue.h
+++ b/Libraries/LibService/MetricsCatalogue.h
@@ -25,6 +25,8 @@
     "Runs that a runner listed and its agent did not await" },
   { "vanillaworks_lost_runs_total",
     "runs that ended before they were done, by how the agent knows" },
+  { "vanillaworks_unconfirmed_departures_total",
+    "runners that were let go before their runs were known to have ended" },
   { "vanillaworks_tasks_released_total",
     "runs of lost agents that count as over" },
   { "vanillaworks_in_flight", "tasks accepted but not ended" },
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -166,10 +166,7 @@
     return;
   }
   if (path.starts_with(leave)) {
-    auto runner = path.substr(leave.size());
-    Log::Write(Event::RunnerLeft, { { "runner", runner } });
-    supervisor_.OnRunnerLeft(runner, MonotonicNow());
-    aExchange->Reply(kHttpOk, "{}");
+    OnLeaving(aExchange, path.substr(leave.size()));
     return;
   }
   aExchange->Reply(kHttpNotFound, "{}");
@@ -188,6 +185,32 @@
   aExchange->Reply(kHttpOk, "{}");
 }
 
+void
+JobAgent::OnLeaving(const Exchange& aExchange, const std::string& aRunner)
+{
+  Log::Write(Event::RunnerLeft, { { "runner", aRunner } });
+  announcements_.emplace(aRunner, aExchange);
+  supervisor_.OnRunnerLeaving(aRunner, MonotonicNow());
+}
+
+void
+JobAgent::OnRunnerReleased(const job::RunnerReleased& aEvent)
+{
+  Log::Write(Event::RunnerReleased,
+             { { "runner", aEvent.runner },
+               { "runs_announced", std::to_string(aEvent.runsAnnounced) },
+               { "runs_left", std::to_string(aEvent.runsLeft) },
+               { "waited_ms", std::to_string(aEvent.waited.count()) } });
+  if (aEvent.runsLeft > 0) {
+    metrics_.Counter("vanillaworks_unconfirmed_departures_total").Increment();
+  }
+  auto [begin, end] = announcements_.equal_range(aEvent.runner);
+  for (auto announcement = begin; announcement != end; ++announcement) {
+    announcement->second->Reply(kHttpOk, "{}");
+  }
+  announcements_.erase(begin, end);
+}
+
 void
 JobAgent::CallStart(const job::StartCall& aCall)
 {
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -13,6 +13,7 @@
 #include "platform/StoreClient.h"
 #include "platform/TableFeed.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -55,12 +56,14 @@
   void SaveReport(const job::RunnerReport& aReport) override;
   void OnRunnerAdopted(const job::RunnerReport& aReport,
                        std::uint64_t aToken) override;
+  void OnRunnerReleased(const job::RunnerReleased& aEvent) override;
 
 private:
   using Exchange = std::shared_ptr<service::LoopHttpExchange>;
 
   void OnRequest(const Exchange& aExchange);
   void OnReport(const Exchange& aExchange, const std::string& aRunner);
+  void OnLeaving(const Exchange& aExchange, const std::string& aRunner);
   void OnMetrics(service::LoopHttpExchange& aExchange);
   void ReadEntries();
   /**
@@ -86,6 +89,8 @@
   wire::TableFeed feed_;
   std::unique_ptr<service::LoopHttpServer> controlServer_;
   std::unique_ptr<service::LoopHttpServer> metricsServer_;
+  /** Announcements of runners that shut down, until they are answered. */
+  std::multimap<std::string, Exchange> announcements_;
   bool isStopping_ = false;
   MonotonicTime stopStartedAt_;
   MonotonicTime lastEntriesReadAt_;
--- a/Tests/LibJob/RunEvidenceTest.cpp
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -57,9 +57,13 @@
     CHECK(run.events[0].evidence == EndEvidence::RunnerLost);
     CHECK(run.events[0].end.outcome == protocol::RunOutcome::RunnerLost);
   }
-  SECTION("the runner has shut down")
+  SECTION("the runner has announced that it shuts down")
   {
-    run.supervisor.OnRunnerLeft("r1", run.now);
+    run.supervisor.OnRunnerLeaving("r1", run.now);
+    CHECK(run.events.empty());
+    run.startedMs += 5000;
+    run.sequence = 0;
+    run.Adopt();
     REQUIRE(run.events.size() == 1);
     CHECK(run.events[0].evidence == EndEvidence::RunnerLeft);
     CHECK(run.events[0].end.outcome == protocol::RunOutcome::Stopped);
--- a/Tests/LibJob/RunSupervisorFixture.h
+++ b/Tests/LibJob/RunSupervisorFixture.h
@@ -55,6 +55,10 @@
   {
     token = aToken;
   }
+  void OnRunnerReleased(const job::RunnerReleased& aEvent) override
+  {
+    released.push_back(aEvent);
+  }
 
   job::RunnerReport Report(job::RunnerState aState = job::RunnerState::Ready)
   {
@@ -143,6 +147,7 @@
   std::vector<protocol::RunOutcome> ends;
   std::vector<job::RunEnded> events;
   std::vector<job::RunKey> unexpectedRuns;
+  std::vector<job::RunnerReleased> released;
   job::ControlView control;
   job::RunSupervisor supervisor{ UpstreamId("u1"),
                                  Incarnation(1),
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -237,6 +237,20 @@
   void OnUnexpectedRun(const job::RunKey&) override {}
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
+  void OnRunnerReleased(const job::RunnerReleased& aEvent) override
+  {
+    // The answer reaches the incarnation that awaits one, if it isn't lost.
+    bool isAwaited = isLeaving && aEvent.runner == runner->Identity().id;
+    if (!isAwaited || cluster.now_ < answersLostUntil) {
+      return;
+    }
+    auto born = runner->Identity().startedMs;
+    cluster.Schedule(kRunnerNetworkDelay, [this, born] {
+      if (runner->Identity().startedMs == born) {
+        cluster.EndLeavingRunner(index);
+      }
+    });
+  }
 
   SimulatedJobCluster& cluster;
   int index;
@@ -252,6 +266,9 @@
   MonotonicTime runnerDownUntil;
   MonotonicTime runnerSilentUntil;
   MonotonicTime stopsLostUntil;
+  /** The runner has announced that it shuts down and hasn't ended. */
+  bool isLeaving = false;
+  MonotonicTime answersLostUntil;
   /** What the process will find in its sockets when it goes on. */
   std::vector<std::function<void()>> unread;
 };
@@ -857,6 +874,41 @@
   node.runner->Crash(now_);
 }
 
+void
+SimulatedJobCluster::LeaveRunner(int aAgent, Milliseconds aStays)
+{
+  auto& node = *agents_[static_cast<std::size_t>(aAgent)];
+  if (node.IsRunnerDown() || node.isLeaving) {
+    return;
+  }
+  node.isLeaving = true;
+  node.answersLostUntil = aStays.count() > 0 ? now_ + aStays : now_;
+  node.runner->SetState(job::RunnerState::Draining);
+  auto identity = node.runner->Identity();
+  Schedule(kRunnerNetworkDelay, [this, &node, identity] {
+    WhenAwake(node.index, [this, &node, identity] {
+      node.supervisor->OnRunnerLeaving(identity.id, now_);
+    });
+  });
+  constexpr Milliseconds kUnansweredStay{ 3000 };
+  Schedule(aStays.count() > 0 ? aStays : kUnansweredStay,
+           [this, aAgent, identity] {
+             if (Runner(aAgent).Identity().startedMs == identity.startedMs) {
+               EndLeavingRunner(aAgent);
+             }
+           });
+}
+
+void
+SimulatedJobCluster::EndLeavingRunner(int aAgent)
+{
+  constexpr Milliseconds kAway{ 800 };
+  auto& node = *agents_[static_cast<std::size_t>(aAgent)];
+  node.isLeaving = false;
+  node.runner->SetState(job::RunnerState::Ready);
+  TakeDownRunner(aAgent, kAway);
+}
+
 void
 SimulatedJobCluster::CrashUnder(int aAgent, const job::RunKey& aKey)
 {
--- a/Tests/LibJob/SimulatedJobCluster.h
+++ b/Tests/LibJob/SimulatedJobCluster.h
@@ -101,6 +101,12 @@
   void CrashRunner(int aAgent) { Runner(aAgent).Crash(now_); }
   /** The runner's next incarnation is there after aFor. */
   void TakeDownRunner(int aAgent, Milliseconds aFor);
+  /**
+   * The runner announces that it shuts down. It ends when it is answered, or
+   * after aStays if that is not 0, since the answer is lost then. Its next
+   * incarnation follows.
+   */
+  void LeaveRunner(int aAgent, Milliseconds aStays);
   /** Tasks that take down each runner soon after it has started them. */
   std::function<bool(const job::RunKey&)> crashesRunner;
   /** How many runners a task of the job has taken down. */
@@ -170,6 +176,7 @@
   void WhenEntryAwake(int aEntry, std::function<void()> aAction);
   void OnStarted(int aAgent, const job::RunKey& aKey);
   void OnStopped(const job::RunKey& aKey);
+  void EndLeavingRunner(int aAgent);
   void CrashUnder(int aAgent, const job::RunKey& aKey);
   void PublishControl();
   bool HappensWith(double aShare);
--- a/Tests/Soak/SoakRound.cpp
+++ b/Tests/Soak/SoakRound.cpp
@@ -224,8 +224,9 @@
 SoakRound::InjectRunnerFault()
 {
   constexpr const char* kModes[] = { "silent",   "failing", "losing",
-                                     "crashing", "up",      "up" };
-  deployment_.ControlRunner(PickWorker(), kModes[PickNumber(0, 5)]);
+                                     "crashing", "leaving", "leaving_unheard",
+                                     "up",       "up" };
+  deployment_.ControlRunner(PickWorker(), kModes[PickNumber(0, 7)]);
 }
 
 void
--- a/Tests/StandIns/RunnerStandIn.cpp
+++ b/Tests/StandIns/RunnerStandIn.cpp
@@ -136,6 +136,40 @@
   for (auto& record : records_) {
     record.crashedRunner |= record.key == aKey && record.endedAtUs == 0;
   }
+  GoDown();
+}
+
+void
+RunnerStandIn::Leave()
+{
+  bool isAnswerLost = mode_ == "leaving_unheard";
+  auto life = crashCount_;
+  auto end = [this, life] {
+    if (life == crashCount_) {
+      mode_ = "up";
+      GoDown();
+    }
+  };
+  client_->Call(
+    { "POST",
+      fmt::format("http://{}/Instances.Deregister/{}",
+                  options_.agentAddress,
+                  options_.id),
+      "",
+      {},
+      Milliseconds(1000) },
+    [this, isAnswerLost, end](const service::LoopHttpResponse& aResponse) {
+      if (aResponse.status == kOk && !isAnswerLost) {
+        end();
+        return;
+      }
+      loop_.RunAfter(kUnheardStay, end);
+    });
+}
+
+void
+RunnerStandIn::GoDown()
+{
   ++crashCount_;
   server_.reset();
   runner_.Crash(MonotonicNow());
@@ -163,7 +197,8 @@
 void
 RunnerStandIn::Report()
 {
-  if (mode_ == "silent" || !server_) {
+  bool isLeaving = mode_.starts_with("leaving");
+  if (mode_ == "silent" || isLeaving || !server_) {
     return;
   }
   ApplyCapacity();
@@ -233,11 +268,15 @@
   if (body.contains("crashTask")) {
     crashTasks_.insert(body.at("crashTask"));
   }
-  if (body.contains("mode")) {
+  // What was announced is not taken back.
+  if (body.contains("mode") && !mode_.starts_with("leaving")) {
     mode_ = body.at("mode");
     if (mode_ == "crashing") {
       runner_.Crash(MonotonicNow());
     }
+    if (mode_.starts_with("leaving")) {
+      Leave();
+    }
   }
   aExchange->Respond(kOk, "{}");
 }
--- a/Tests/StandIns/RunnerStandIn.h
+++ b/Tests/StandIns/RunnerStandIn.h
@@ -55,6 +55,10 @@
  * - "ending" ends the process as soon as it has started a task, with the exit
  *   status kEndedAtStart.
  * - "crashing" drops all runs, begins a new incarnation and goes on normally.
+ * - "leaving" announces that it shuts down, ends when it is answered, and
+ * begins a new incarnation after kDownTime.
+ * - "leaving_unheard" does the same, but the answer is lost: it ends
+ *   kUnheardStay after the announcement.
  */
 class RunnerStandIn
 {
@@ -62,6 +66,7 @@
   /** The platform's `contactMs` and one report. */
   static constexpr Milliseconds kRoomGrace{ 3500 };
   static constexpr Milliseconds kDownTime{ 2000 };
+  static constexpr Milliseconds kUnheardStay{ 2000 };
 
   RunnerStandIn(service::EventLoop& aLoop, RunnerStandInOptions aOptions);
   ~RunnerStandIn();
@@ -93,6 +98,9 @@
   void RecordStart(const job::RunKey& aKey);
   void RecordEnd(const job::RunKey& aKey);
   void CrashUnder(const job::RunKey& aKey);
+  void Leave();
+  /** Ends all runs and refuses connections until the next incarnation. */
+  void GoDown();
   void ApplyCapacity();
   void OnControl(const ExchangePtr& aExchange);
 
--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -382,6 +382,28 @@
   CHECK(deployment.Get(1, "/tally/").status == 200);
 }
 
+// The announcement was taken for the end of the runner's tasks.
+TEST_CASE("a runner's announcement to leave gets no answer and no task runs "
+          "twice at once",
+          "[platform-operators]")
+{
+  PlatformDeployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+  auto answers = std::async(std::launch::async, [&deployment] {
+    return SubmitMany(deployment, 700, 6, 1500);
+  });
+  auto runs = WaitForRuns(deployment, PlatformDeployment::JobId(700), 1);
+  REQUIRE_FALSE(runs.empty());
+  deployment.ControlRunner(runs.front().worker, "leaving_unheard");
+  CHECK(CountServed(answers.get()) == 6);
+  auto records = deployment.RunRecords();
+  CHECK(CheckRuns(records).empty());
+  std::erase_if(records, [&runs](const auto& aRecord) {
+    return aRecord.job != runs.front().job || aRecord.task != runs.front().task;
+  });
+  CHECK(records.size() == 2);
+}
+
 TEST_CASE("a draining runner starts no new task", "[platform-operators]")
 {
   PlatformDeployment deployment({});
