--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -5,11 +5,6 @@
 namespace vanillaworks::job {
 
 namespace {
-/**
- * In milliseconds, larger than any backward step of the clock between two
- * processes of an agent.
- */
-constexpr std::uint64_t kFencedTokenIncrement = 3'600'000;
 /** Longer than a caller tries. */
 constexpr std::chrono::seconds kLossRetention{ 60 };
 constexpr std::size_t kMaxRecentLosses = 1000;
@@ -28,19 +23,6 @@
   return isLost ? protocol::RunOutcome::RunnerLost
                 : protocol::RunOutcome::Stopped;
 }
-
-std::set<RunKey>
-KeysOf(const HoldAnswer& aAnswer)
-{
-  std::set<RunKey> keys;
-  for (const auto& row : aAnswer.running) {
-    keys.insert(row.key);
-  }
-  for (const auto& row : aAnswer.finished) {
-    keys.insert(row.key);
-  }
-  return keys;
-}
 }
 
 RunSupervisor::RunSupervisor(UpstreamId aUpstream,
@@ -100,113 +82,6 @@
   FlushReports();
 }
 
-void
-RunSupervisor::VerifyReport(const RunnerReport& aReport,
-                            std::int64_t aClockMs,
-                            MonotonicTime aNow)
-{
-  if (verification_) {
-    nextReport_ = aReport;
-    return;
-  }
-  candidateReport_ = aReport;
-  candidateClockMs_ = aClockMs;
-  // The runner's start time and clock only increase, so a later process of this
-  // agent derives a higher token without any coordination.
-  auto token = static_cast<std::uint64_t>(aReport.startedMs + aClockMs);
-  if (runner_) {
-    token = std::max(token, runner_->token + 1);
-  }
-  verification_ = PendingHold{ nextHoldNumber_++, aNow, token, 0, aNow, true };
-  port_.CallHold(verification_->number,
-                 { { aReport.id, aReport.address, token }, 0, 0, {} });
-}
-
-void
-RunSupervisor::OnVerificationAnswered(const HoldAnswer& aAnswer,
-                                      MonotonicTime aNow)
-{
-  auto verification = *verification_;
-  verification_.reset();
-  auto candidate = *candidateReport_;
-  if (aAnswer.result == HoldResult::Fenced) {
-    // The clock in a saved report is old; the refusal contains the current one.
-    // If a token from the current clock is refused as well, an earlier process
-    // had raised its token beyond the clock.
-    bool isFirst =
-      verificationFencedCount_++ == 0 && aAnswer.clockMs > candidateClockMs_;
-    auto clockMs = isFirst ? aAnswer.clockMs
-                           : candidateClockMs_ +
-                               static_cast<std::int64_t>(kFencedTokenIncrement);
-    VerifyReport(candidate, clockMs, aNow);
-    return;
-  }
-  verificationFencedCount_ = 0;
-  bool isThere = aAnswer.result == HoldResult::Answered &&
-                 IsSameIncarnation(aAnswer, candidate);
-  if (isThere) {
-    AdoptIncarnation(candidate, aAnswer, verification.token, aNow);
-    StartQueuedRuns(aNow);
-    CallHoldIfNeeded(aNow);
-    FlushReports();
-  }
-  auto next = std::move(nextReport_);
-  nextReport_.reset();
-  if (next) {
-    OnRunnerReport(*next, aNow);
-  }
-}
-
-bool
-RunSupervisor::IsSameIncarnation(const HoldAnswer& aAnswer,
-                                 const RunnerReport& aReport)
-{
-  return aAnswer.startedMs == 0 || aAnswer.startedMs == aReport.startedMs;
-}
-
-void
-RunSupervisor::AdoptIncarnation(const RunnerReport& aReport,
-                                const HoldAnswer& aAnswer,
-                                std::uint64_t aToken,
-                                MonotonicTime aNow)
-{
-  // A start call to the earlier incarnation may have reached this one. The
-  // higher token fences off further ones.
-  auto arrived = KeysOf(aAnswer);
-  ResolveSuspectedLosses(protocol::LossState::Confirmed);
-  bool hadLeft = runner_ && runner_->isLeaving;
-  EndRunsExcept(
-    arrived, hadLeft ? EndEvidence::RunnerLeft : EndEvidence::RunnerLost, aNow);
-  if (departure_) {
-    ReleaseRunner(aNow);
-  }
-  for (const auto& key : arrived) {
-    auto found = runs_.find(key);
-    if (found != runs_.end()) {
-      found->second.stopAcceptedAt = {};
-    }
-  }
-  // Equal labels stand for equal hardware.
-  bool hasSameLabels = runner_ && runner_->report.labels == aReport.labels;
-  auto learnedSlowness = aReport.learnedSlowness == 0 && hasSameLabels
-                           ? runner_->report.learnedSlowness
-                           : aReport.learnedSlowness;
-  health_.Reset();
-  health_.Seed(learnedSlowness, aNow);
-  foreignRuns_.clear();
-  runner_ = RunnerIncarnation(limits_.maxClockDrift);
-  runner_->report = aReport;
-  runner_->report.learnedSlowness = learnedSlowness;
-  runner_->token = aToken;
-  runner_->leasesExpireAt = aNow + limits_.grantedLease * 2;
-  pendingHolds_.clear();
-  if (!aReport.isInferred) {
-    port_.SaveReport(runner_->report);
-  }
-  port_.OnRunnerAdopted(aReport, aToken);
-  ProcessHoldAnswer(aAnswer, { 0, aNow, aToken, 0, aNow, true }, aNow);
-}
-
 void
 RunSupervisor::EndRunsExcept(const std::set<RunKey>& aKept,
                              EndEvidence aEvidence,
@@ -298,19 +173,6 @@
   port_.SaveReport(runner_->report);
 }
 
-void
-RunSupervisor::RaiseToken(std::uint64_t aBy)
-{
-  runner_->token += aBy;
-  runner_->isReconciled = false;
-}
-
-void
-RunSupervisor::RaiseTokenAfterFencing()
-{
-  RaiseToken(kFencedTokenIncrement);
-}
-
 RunnerTarget
 RunSupervisor::Target() const
 {
