LibJob: Take no other runner's report for the end of the present one

A report of another id was taken for the next incarnation if something answered at the address in it. An answer from the same address proves that the former process is gone; one from another address proves nothing about it.

Change: a runner at another address takes the place of the present one only when that has no run left and is silent, leaving, or of a service without a route. Until then its report is ignored (RunnerReportIgnored, 510) and the present runner is called, so that its silence would show by the next report.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -33,6 +33,9 @@
   X(507, RunnerReportSkipped, "a malformed report of a runner was skipped")    \
   X(508, UpstreamChanged, "an upstream's status changed")                      \
   X(509, RunnerReleased, "the runner's announcement was answered: it may end") \
+  X(510,                                                                       \
+    RunnerReportIgnored,                                                       \
+    "another runner reported beside the present one")                          \
   X(600, EntryMemberLapsed, "another entry's lease expired")                   \
   X(602, TakeoverBegun, "the takeover of a lost entry's submission has begun") \
   X(604, Reincarnated, "this entry lost its lease and has a new incarnation")  \
--- a/Libraries/LibJob/ControlView.cpp
+++ b/Libraries/LibJob/ControlView.cpp
@@ -31,6 +31,17 @@
   return best;
 }
 
+bool
+ControlView::HasRouteTo(const std::string& aService) const
+{
+  const auto& routes = current_->routes;
+  return routes.empty() || std::any_of(routes.begin(),
+                                       routes.end(),
+                                       [&aService](const auto& aRoute) {
+                                         return aRoute.service == aService;
+                                       });
+}
+
 bool
 ControlView::IsClosed(const FailureDomainId& aDomain) const
 {
--- a/Libraries/LibJob/ControlView.h
+++ b/Libraries/LibJob/ControlView.h
@@ -30,6 +30,8 @@
   const protocol::RouteRow* FindRoute(std::string_view aHost,
                                       std::string_view aPath) const;
   bool IsClosed(const FailureDomainId& aDomain) const;
+  /** Whether some route names the service; true if no route is known. */
+  bool HasRouteTo(const std::string& aService) const;
 
 private:
   std::shared_ptr<const protocol::ControlUpdate> current_ =
--- a/Libraries/LibJob/RunSupervisor.cpp
+++ b/Libraries/LibJob/RunSupervisor.cpp
@@ -43,6 +43,11 @@
 {
   bool isKnownIncarnation = runner_ && runner_->report.id == aReport.id &&
                             runner_->report.startedMs == aReport.startedMs;
+  if (!isKnownIncarnation && !MayBeNext(aReport, aNow)) {
+    port_.OnReportIgnored(aReport);
+    ProbeRunner(aNow);
+    return;
+  }
   if (!isKnownIncarnation) {
     // This may be a delayed report of an earlier incarnation, so a hold call
     // checks which incarnation is running.
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -208,6 +208,14 @@
   };
   using QueueKey = std::tuple<std::uint32_t, std::uint64_t, RunKey>;
 
+  /**
+   * Whether the reported incarnation may be the present one's successor. An
+   * answer from the same address proves that the present one has ended; from
+   * another address it proves nothing, and both may run.
+   */
+  bool MayBeNext(const RunnerReport& aReport, MonotonicTime aNow) const;
+  /** Calls the runner even if it is idle, to learn whether it still answers. */
+  void ProbeRunner(MonotonicTime aNow);
   /** aClockMs: the latest that is known of the runner's clock. */
   void VerifyReport(const RunnerReport& aReport,
                     std::int64_t aClockMs,
--- a/Libraries/LibJob/RunSupervisorAdoption.cpp
+++ b/Libraries/LibJob/RunSupervisorAdoption.cpp
@@ -25,6 +25,25 @@
 }
 }
 
+bool
+RunSupervisor::MayBeNext(const RunnerReport& aReport, MonotonicTime aNow) const
+{
+  if (!runner_ || aReport.address == runner_->report.address) {
+    return true;
+  }
+  bool isOutOfUse = runner_->isLeaving || IsRunnerSilent(aNow) ||
+                    !control_.HasRouteTo(runner_->report.service);
+  return isOutOfUse && CountOccupyingRuns() == 0;
+}
+
+void
+RunSupervisor::ProbeRunner(MonotonicTime aNow)
+{
+  if (pendingHolds_.empty()) {
+    CallHold(aNow);
+  }
+}
+
 void
 RunSupervisor::VerifyReport(const RunnerReport& aReport,
                             std::int64_t aClockMs,
@@ -68,7 +87,8 @@
   }
   verificationFencedCount_ = 0;
   bool isThere = aAnswer.result == HoldResult::Answered &&
-                 IsSameIncarnation(aAnswer, candidate);
+                 IsSameIncarnation(aAnswer, candidate) &&
+                 MayBeNext(candidate, aNow);
   if (isThere) {
     AdoptIncarnation(candidate, aAnswer, verification.token, aNow);
     StartQueuedRuns(aNow);
--- a/Libraries/LibJob/RunSupervisorPort.h
+++ b/Libraries/LibJob/RunSupervisorPort.h
@@ -32,6 +32,8 @@
   virtual void OnUnexpectedRun(const RunKey& aRun) = 0;
   /** Saves the report for later processes of the agent; best effort. */
   virtual void SaveReport(const RunnerReport& aReport) = 0;
+  /** For logs only: the report names no runner that is to be used. */
+  virtual void OnReportIgnored(const RunnerReport& aReport) = 0;
   /** For logs only: this incarnation of the runner is served from now on. */
   virtual void OnRunnerAdopted(const RunnerReport& aReport,
                                std::uint64_t aToken) = 0;
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -317,6 +317,15 @@
              [](wire::StoreStatus) {});
 }
 
+void
+JobAgent::OnReportIgnored(const job::RunnerReport& aReport)
+{
+  Log::Write(Event::RunnerReportIgnored,
+             { { "runner", aReport.id },
+               { "service", aReport.service },
+               { "address", aReport.address } });
+}
+
 void
 JobAgent::OnRunnerAdopted(const job::RunnerReport& aReport,
                           std::uint64_t aToken)
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -54,6 +54,7 @@
   void OnRunEnded(const job::RunEnded& aEvent) override;
   void OnUnexpectedRun(const job::RunKey& aRun) override;
   void SaveReport(const job::RunnerReport& aReport) override;
+  void OnReportIgnored(const job::RunnerReport& aReport) override;
   void OnRunnerAdopted(const job::RunnerReport& aReport,
                        std::uint64_t aToken) override;
   void OnRunnerReleased(const job::RunnerReleased& aEvent) override;
--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -22,6 +22,7 @@
   void OnUnexpectedRun(const job::RunKey&) override {}
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
+  void OnReportIgnored(const job::RunnerReport&) override {}
   void OnRunnerReleased(const job::RunnerReleased&) override {}
 };
 
--- a/Tests/LibJob/RunSupervisorFixture.h
+++ b/Tests/LibJob/RunSupervisorFixture.h
@@ -55,6 +55,10 @@
   {
     token = aToken;
   }
+  void OnReportIgnored(const job::RunnerReport& aReport) override
+  {
+    ignored.push_back(aReport);
+  }
   void OnRunnerReleased(const job::RunnerReleased& aEvent) override
   {
     released.push_back(aEvent);
@@ -148,6 +152,7 @@
   std::vector<job::RunEnded> events;
   std::vector<job::RunKey> unexpectedRuns;
   std::vector<job::RunnerReleased> released;
+  std::vector<job::RunnerReport> ignored;
   job::ControlView control;
   job::RunSupervisor supervisor{ UpstreamId("u1"),
                                  Incarnation(1),
--- a/Tests/LibJob/RunnerRoomHistoryTest.cpp
+++ b/Tests/LibJob/RunnerRoomHistoryTest.cpp
@@ -80,6 +80,7 @@
     stored_->clockMs = 0;
   }
   void OnRunnerAdopted(const RunnerReport&, std::uint64_t) override {}
+  void OnReportIgnored(const RunnerReport&) override {}
   void OnRunnerReleased(const RunnerReleased&) override {}
 
   void SetRoom(const Resources& aRoom)
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -237,6 +237,7 @@
   void OnUnexpectedRun(const job::RunKey&) override {}
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
+  void OnReportIgnored(const job::RunnerReport&) override {}
   void OnRunnerReleased(const job::RunnerReleased& aEvent) override
   {
     // The answer reaches the incarnation that awaits one, if it isn't lost.
