LibJob: Verify a runner's next incarnation until it answers

For up to 1.5 s, until the next report, the agent went on with the former incarnation: it started tasks by the room of a larger one, and the new one, which had seen no fencing token, carried out a late start of a task that ran elsewhere.

Change: the verifying call is repeated after 25 ms, with up to four calls that await an answer, until one is answered, another incarnation answers, or 3 s are over. While an incarnation that reported from the runner's address is not verified, nothing is started there; orders wait. Both are needed for either case: without the repetition starts would wait for the next report, without the wait the former room stays in force for the time of the repetition. What belonged to the verification is one struct in place of four members.

--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -171,8 +171,20 @@
     std::uint64_t token;
     std::uint64_t lastSeen;
     MonotonicTime overdueAt;
-    /** The call checks whether a reported incarnation is running. */
-    bool isVerification;
+  };
+  /** A reported incarnation that has not answered a call yet. */
+  struct Verification
+  {
+    RunnerReport report;
+    /** The latest that is known of the runner's clock. */
+    std::int64_t clockMs = 0;
+    std::uint64_t token = 0;
+    /** How often a token has been refused as too low. */
+    int refusals = 0;
+    /** The calls that await an answer; the first answer counts. */
+    std::set<std::uint64_t> calls;
+    MonotonicTime repeatAt;
+    MonotonicTime expiresAt;
   };
   /** An announced shutdown that has not been answered. */
   struct Departure
@@ -220,7 +232,19 @@
   void VerifyReport(const RunnerReport& aReport,
                     std::int64_t aClockMs,
                     MonotonicTime aNow);
-  void OnVerificationAnswered(const HoldAnswer& aAnswer, MonotonicTime aNow);
+  void CallVerification(MonotonicTime aNow);
+  void RepeatVerificationIfDue(MonotonicTime aNow);
+  void OnVerificationAnswered(std::uint64_t aNumber,
+                              const HoldAnswer& aAnswer,
+                              MonotonicTime aNow);
+  /** Verifies the same incarnation again, with a higher token. */
+  void OnVerificationFenced(std::int64_t aClockMs, MonotonicTime aNow);
+  void EndVerification(MonotonicTime aNow);
+  /**
+   * Whether another incarnation has reported from the runner's address, so that
+   * neither the room nor the labels of the present one are certain.
+   */
+  bool IsSuccessorAnnounced() const;
   void AdoptIncarnation(const RunnerReport& aReport,
                         const HoldAnswer& aAnswer,
                         std::uint64_t aToken,
@@ -401,14 +425,9 @@
   ResponseTimeEstimator startResponseTimes_;
   std::optional<RunnerIncarnation> runner_;
   std::optional<Departure> departure_;
-  /**
-   * The reported incarnation that is being verified, and the latest report
-   * received meanwhile.
-   */
-  std::optional<RunnerReport> candidateReport_;
+  std::optional<Verification> verification_;
+  /** The latest report received during the verification. */
   std::optional<RunnerReport> nextReport_;
-  std::int64_t candidateClockMs_ = 0;
-  int verificationFencedCount_ = 0;
   /**
    * Pending hold calls by number. Another one is made when an answer is
    * overdue, so that a lost answer doesn't delay the detection of ends for
@@ -417,7 +436,6 @@
   std::map<std::uint64_t, PendingHold> pendingHolds_;
   /** Answers to hold calls with lower numbers are ignored as outdated. */
   std::uint64_t lastProcessedHold_ = 0;
-  std::optional<PendingHold> verification_;
   std::uint64_t nextHoldNumber_ = 1;
   /** Runs of earlier processes of this agent that are being stopped. */
   std::set<RunKey> foreignRuns_;
--- a/Libraries/LibJob/RunSupervisorAdoption.cpp
+++ b/Libraries/LibJob/RunSupervisorAdoption.cpp
@@ -10,6 +10,11 @@
  * processes of an agent.
  */
 constexpr std::uint64_t kFencedTokenIncrement = 3'600'000;
+/** Delay until a verifying call without an answer is repeated. */
+constexpr Milliseconds kVerificationRepeatDelay{ 25 };
+constexpr std::size_t kMaxVerificationCalls = 4;
+/** Longer than the interval of reports, the next of which begins another. */
+constexpr Milliseconds kVerificationTimeout{ 3000 };
 
 std::set<RunKey>
 KeysOf(const HoldAnswer& aAnswer)
@@ -53,48 +58,112 @@
     nextReport_ = aReport;
     return;
   }
-  candidateReport_ = aReport;
-  candidateClockMs_ = aClockMs;
+  Verification verification;
+  verification.report = aReport;
+  verification.clockMs = aClockMs;
+  verification.expiresAt = aNow + kVerificationTimeout;
+  verification_ = std::move(verification);
+  ++statusRevision_;
+  CallVerification(aNow);
+}
+
+void
+RunSupervisor::CallVerification(MonotonicTime aNow)
+{
+  const auto& report = verification_->report;
   // The runner's start time and clock only increase, so a later process of this
   // agent derives a higher token without any coordination.
-  auto token = static_cast<std::uint64_t>(aReport.startedMs + aClockMs);
+  auto token =
+    static_cast<std::uint64_t>(report.startedMs + verification_->clockMs);
   if (runner_) {
     token = std::max(token, runner_->token + 1);
   }
-  verification_ = PendingHold{ nextHoldNumber_++, aNow, token, 0, aNow, true };
-  port_.CallHold(verification_->number,
-                 { { aReport.id, aReport.address, token }, 0, 0, {} });
+  verification_->token = token;
+  verification_->repeatAt = aNow + kVerificationRepeatDelay;
+  auto number = nextHoldNumber_++;
+  verification_->calls.insert(number);
+  port_.CallHold(number, { { report.id, report.address, token }, 0, 0, {} });
 }
 
 void
-RunSupervisor::OnVerificationAnswered(const HoldAnswer& aAnswer,
-                                      MonotonicTime aNow)
+RunSupervisor::RepeatVerificationIfDue(MonotonicTime aNow)
 {
-  auto verification = *verification_;
-  verification_.reset();
-  auto candidate = *candidateReport_;
-  if (aAnswer.result == HoldResult::Fenced) {
-    // The clock in a saved report is old; the refusal contains the current one.
-    // If a token from the current clock is refused as well, an earlier process
-    // had raised its token beyond the clock.
-    bool isFirst =
-      verificationFencedCount_++ == 0 && aAnswer.clockMs > candidateClockMs_;
-    auto clockMs = isFirst ? aAnswer.clockMs
-                           : candidateClockMs_ +
-                               static_cast<std::int64_t>(kFencedTokenIncrement);
-    VerifyReport(candidate, clockMs, aNow);
+  if (!verification_) {
+    return;
+  }
+  if (aNow >= verification_->expiresAt) {
+    EndVerification(aNow);
     return;
   }
-  verificationFencedCount_ = 0;
-  bool isThere = aAnswer.result == HoldResult::Answered &&
-                 IsSameIncarnation(aAnswer, candidate) &&
-                 MayBeNext(candidate, aNow);
+  // Until it is fenced, the incarnation carries out late calls that were meant
+  // for its predecessor.
+  bool isDue = aNow >= verification_->repeatAt &&
+               verification_->calls.size() < kMaxVerificationCalls;
+  if (isDue) {
+    CallVerification(aNow);
+  }
+}
+
+void
+RunSupervisor::OnVerificationAnswered(std::uint64_t aNumber,
+                                      const HoldAnswer& aAnswer,
+                                      MonotonicTime aNow)
+{
+  verification_->calls.erase(aNumber);
+  switch (aAnswer.result) {
+    case HoldResult::Fenced:
+      OnVerificationFenced(aAnswer.clockMs, aNow);
+      return;
+    case HoldResult::NotReached:
+    case HoldResult::Unknown: {
+      bool isSuperseded =
+        nextReport_ &&
+        (nextReport_->id != verification_->report.id ||
+         nextReport_->startedMs != verification_->report.startedMs);
+      if (isSuperseded) {
+        EndVerification(aNow);
+      }
+      return;
+    }
+    case HoldResult::OtherIncarnation:
+      EndVerification(aNow);
+      return;
+    case HoldResult::Answered:
+      break;
+  }
+  auto verified = *verification_;
+  bool isThere = IsSameIncarnation(aAnswer, verified.report) &&
+                 MayBeNext(verified.report, aNow);
   if (isThere) {
-    AdoptIncarnation(candidate, aAnswer, verification.token, aNow);
-    StartQueuedRuns(aNow);
-    CallHoldIfNeeded(aNow);
-    FlushReports();
+    AdoptIncarnation(verified.report, aAnswer, verified.token, aNow);
   }
+  EndVerification(aNow);
+}
+
+void
+RunSupervisor::OnVerificationFenced(std::int64_t aClockMs, MonotonicTime aNow)
+{
+  // The clock in a saved report is old; the refusal contains the current one.
+  // If a token from the current clock is refused as well, an earlier process
+  // had raised its token beyond the clock.
+  bool isFirst =
+    verification_->refusals++ == 0 && aClockMs > verification_->clockMs;
+  verification_->clockMs =
+    isFirst ? aClockMs
+            : verification_->clockMs +
+                static_cast<std::int64_t>(kFencedTokenIncrement);
+  verification_->calls.clear();
+  CallVerification(aNow);
+}
+
+void
+RunSupervisor::EndVerification(MonotonicTime aNow)
+{
+  verification_.reset();
+  ++statusRevision_;
+  StartQueuedRuns(aNow);
+  CallHoldIfNeeded(aNow);
+  FlushReports();
   auto next = std::move(nextReport_);
   nextReport_.reset();
   if (next) {
@@ -102,6 +171,13 @@
   }
 }
 
+bool
+RunSupervisor::IsSuccessorAnnounced() const
+{
+  return verification_ && runner_ &&
+         verification_->report.address == runner_->report.address;
+}
+
 bool
 RunSupervisor::IsSameIncarnation(const HoldAnswer& aAnswer,
                                  const RunnerReport& aReport)
@@ -149,7 +225,7 @@
     port_.SaveReport(runner_->report);
   }
   port_.OnRunnerAdopted(aReport, aToken);
-  ProcessHoldAnswer(aAnswer, { 0, aNow, aToken, 0, aNow, true }, aNow);
+  ProcessHoldAnswer(aAnswer, { 0, aNow, aToken, 0, aNow }, aNow);
 }
 
 void
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -66,8 +66,7 @@
                             aNow,
                             runner_->token,
                             runner_->lastSeen,
-                            aNow + call.wait + kAnswerOverdueAfter,
-                            false };
+                            aNow + call.wait + kAnswerOverdueAfter };
   port_.CallHold(number, call);
 }
 
@@ -76,8 +75,8 @@
                               const HoldAnswer& aAnswer,
                               MonotonicTime aNow)
 {
-  if (verification_ && verification_->number == aNumber) {
-    OnVerificationAnswered(aAnswer, aNow);
+  if (verification_ && verification_->calls.contains(aNumber)) {
+    OnVerificationAnswered(aNumber, aAnswer, aNow);
     return;
   }
   auto found = pendingHolds_.find(aNumber);
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -276,8 +276,8 @@
   // Without the operators' configuration it is unknown which failure domains
   // are closed.
   return control_.Revision() != 0 && runner_ && runner_->isReconciled &&
-         runner_->isReachable && !isStopping_ && !runner_->isLeaving &&
-         runner_->report.state == RunnerState::Ready &&
+         !IsSuccessorAnnounced() && runner_->isReachable && !isStopping_ &&
+         !runner_->isLeaving && runner_->report.state == RunnerState::Ready &&
          !control_.IsClosed(runner_->report.domain);
 }
 
@@ -297,10 +297,10 @@
   }
   if (!MayStart()) {
     bool isClosed = runner_ && control_.IsClosed(runner_->report.domain);
-    bool isReconciling = runner_ && !runner_->isReconciled &&
-                         runner_->isReachable && !isStopping_ && !isClosed &&
-                         !runner_->isLeaving &&
-                         runner_->report.state == RunnerState::Ready;
+    bool isReconciling =
+      runner_ && (!runner_->isReconciled || IsSuccessorAnnounced()) &&
+      runner_->isReachable && !isStopping_ && !isClosed &&
+      !runner_->isLeaving && runner_->report.state == RunnerState::Ready;
     if (!isReconciling) {
       ReturnQueue(isClosed ? protocol::RunOutcome::DomainClosed
                            : protocol::RunOutcome::Leaving,
@@ -367,6 +367,7 @@
   health_.OnTick(aNow);
   SaveLearnedSlowness(aNow);
   UpdateRoomKnown(aNow);
+  RepeatVerificationIfDue(aNow);
   bool hasLeaseExpired = runner_ && aNow > runner_->leasesExpireAt;
   if (hasLeaseExpired && CountOccupyingRuns() > 0) {
     // The runner has not answered for so long that all leases there have
--- a/Tests/LibJob/RunnerSuccessionTest.cpp
+++ b/Tests/LibJob/RunnerSuccessionTest.cpp
@@ -123,3 +123,92 @@
   CHECK(StartsNewTask(fixture));
   CHECK(fixture.starts.back().target.id == "r2");
 }
+
+namespace {
+/** The runner of a supervisor without runs starts again under its id. */
+struct RebornRunner : RunSupervisorFixture
+{
+  RebornRunner()
+  {
+    Adopt();
+    formerToken = token;
+    AdvanceTime(Milliseconds(1000));
+    startedMs += 1000;
+    clockMs = 1;
+    sequence = 0;
+    supervisor.OnRevalidated(kEntry, now);
+  }
+  std::uint64_t formerToken;
+};
+}
+
+// The room of the former incarnation stayed in force until a call to the next
+// one was answered.
+TEST_CASE("nothing starts by the room of an incarnation that is replaced")
+{
+  RebornRunner runner;
+  auto report = runner.Report();
+  report.capacity = { 1000, 1000, 0 };
+  runner.supervisor.OnRunnerReport(report, runner.now);
+  runner.Order(2);
+  CHECK(runner.starts.empty());
+  CHECK_FALSE(runner.supervisor.Status(kEntry, runner.now).accepting);
+  runner.AnswerHold(runner.Answer());
+  CHECK(runner.starts.size() == 1);
+}
+
+// The next incarnation stayed without a fencing token until its next report,
+// and carried out a late start for the former one.
+TEST_CASE("the call that fences the next incarnation is repeated")
+{
+  RebornRunner runner;
+  runner.supervisor.OnRunnerReport(runner.Report(), runner.now);
+  REQUIRE(runner.holds.size() == 1);
+  auto first = runner.holds[0];
+  runner.AdvanceTime(Milliseconds(25));
+  runner.supervisor.OnTick(runner.now);
+  REQUIRE(runner.holds.size() == 2);
+  CHECK(runner.holds[1].second.target.token > runner.formerToken);
+  SECTION("the answer to the repeated call counts")
+  {
+    runner.AnswerHold(runner.Answer());
+  }
+  SECTION("a late answer to the first call counts")
+  {
+    runner.supervisor.OnHoldAnswered(first.first, runner.Answer(), runner.now);
+  }
+  SECTION("the first call fails before the other is answered")
+  {
+    runner.supervisor.OnHoldAnswered(first.first, {}, runner.now);
+    runner.AnswerHold(runner.Answer());
+  }
+  CHECK(runner.token > runner.formerToken);
+  CHECK(StartsNewTask(runner));
+}
+
+TEST_CASE("a report of an incarnation that never answers is given up")
+{
+  RebornRunner runner;
+  runner.supervisor.OnRunnerReport(runner.Report(), runner.now);
+  Pass(runner, Milliseconds(4000), false);
+  CHECK(runner.holds.empty());
+  auto next = runner.Report();
+  next.startedMs += 5000;
+  runner.startedMs = next.startedMs;
+  runner.supervisor.OnRunnerReport(next, runner.now);
+  runner.AnswerHold(runner.Answer());
+  CHECK(StartsNewTask(runner));
+}
+
+TEST_CASE("a delayed report of an earlier incarnation holds up no start")
+{
+  RunSupervisorFixture fixture;
+  fixture.Adopt();
+  auto former = fixture.Report();
+  former.startedMs -= 5000;
+  fixture.supervisor.OnRunnerReport(former, fixture.now);
+  fixture.Order(1);
+  CHECK(fixture.ends.empty());
+  fixture.AnswerHold(fixture.Answer());
+  CHECK(fixture.starts.size() == 1);
+}
