platform: Take no unreadable list or refusal for the end of a run

A run that had been confirmed then ended as `not_listed` and its task was placed again while it went on. A stop that was refused with an unreadable reason counted as accepted.

HoldAnswer says whether the lists were complete. An incomplete one still reports the ends and the clock in it, but ends no run and adopts no incarnation; the next call asks again. Rows of other programs count as read, as before.

CodecTest.cpp and RunEvidenceTest.cpp, "not in a list that can't be read wholly", fail with the check taken out.

--- a/Libraries/LibJob/RunSupervisorAdoption.cpp
+++ b/Libraries/LibJob/RunSupervisorAdoption.cpp
@@ -131,6 +131,10 @@
     case HoldResult::Answered:
       break;
   }
+  if (!aAnswer.isComplete) {
+    // The call is repeated.
+    return;
+  }
   auto verified = *verification_;
   bool isThere = IsSameIncarnation(aAnswer, verified.report) &&
                  MayBeNext(verified.report, aNow);
--- a/Libraries/LibJob/RunSupervisorHolds.cpp
+++ b/Libraries/LibJob/RunSupervisorHolds.cpp
@@ -212,7 +212,7 @@
         break;
     }
   }
-  if (aAnswer.finished.size() < kMaxReportedEnds) {
+  if (aAnswer.isComplete && aAnswer.finished.size() < kMaxReportedEnds) {
     ReconcileRuns(aAnswer, aHold, aNow);
   }
 }
--- a/Libraries/LibJob/RunnerCalls.h
+++ b/Libraries/LibJob/RunnerCalls.h
@@ -127,6 +127,11 @@
   std::int64_t startedMs = 0;
   std::vector<RunningRow> running;
   std::vector<FinishedRow> finished;
+  /**
+   * Whether both lists were there and each of their rows could be read. Only
+   * then is a run that isn't listed known not to be active.
+   */
+  bool isComplete = true;
 };
 
 }
--- a/Tests/LibJob/RunEvidenceTest.cpp
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -77,6 +77,16 @@
     REQUIRE(run.events.size() == 1);
     CHECK(run.events[0].evidence == EndEvidence::NotListed);
   }
+  SECTION("not in a list that can't be read wholly")
+  {
+    run.AnswerHold(run.Answer());
+    run.AdvanceTime(Milliseconds(60));
+    run.supervisor.OnTick(run.now);
+    auto answer = run.Answer();
+    answer.isComplete = false;
+    run.AnswerHold(answer);
+    CHECK(run.events.empty());
+  }
   SECTION("the agent was paused until the lease was over")
   {
     run.AdvanceTime(RunSupervisorLimits{}.lease * 2);
--- a/Tests/platform/CodecTest.cpp
+++ b/Tests/platform/CodecTest.cpp
@@ -183,6 +183,33 @@
   CHECK(ParseStartResponse(0, "") == job::StartResult::Unknown);
 }
 
+// A run that couldn't be read from the runner's list counted as ended.
+TEST_CASE("a list that can't be read wholly doesn't prove that a run has ended")
+{
+  auto isComplete = [](const std::string& aLists) {
+    auto answer = ParseHoldResponse(200, R"({"clockMs":10,"born":7)" + aLists);
+    CHECK(answer.result == job::HoldResult::Answered);
+    return answer.isComplete;
+  };
+  CHECK(isComplete(R"(,"running":[],"finished":[]})"));
+  CHECK(isComplete(R"(,"running":[["other",1,"",0]],"finished":[]})"));
+  CHECK_FALSE(isComplete("}"));
+  CHECK_FALSE(isComplete(R"(,"finished":[]})"));
+  CHECK_FALSE(isComplete(R"(,"running":[]})"));
+  CHECK_FALSE(isComplete(R"(,"running":[7],"finished":[]})"));
+  CHECK_FALSE(isComplete(R"(,"running":[["a.0.0.1",-1,"",0]],"finished":[]})"));
+  CHECK_FALSE(isComplete(R"(,"running":[],"finished":[["x"]]})"));
+}
+
+TEST_CASE("a refused stop whose reason can't be read is not accepted")
+{
+  CHECK(ParseStopResponse(409, R"({"reason":"fence"})") ==
+        job::StopResult::Fenced);
+  CHECK(ParseStopResponse(409, R"({"reason":"old"})") ==
+        job::StopResult::Accepted);
+  CHECK(ParseStopResponse(409, "garbage") == job::StopResult::Unknown);
+}
+
 // Any status that the runner's protocol doesn't name counted as a refusal, so
 // that a job whose task may have started could be rejected as not run.
 TEST_CASE("only the refusals of the protocol prove that a start did nothing")
