LibJob: Ignore an earlier incarnation's announcement to leave

The supervisor returns whether an announcement may be answered now, so that one that concerns nobody doesn't let the agent answer those that wait.

--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -27,6 +27,14 @@
 
 namespace vanillaworks::job {
 
+/** When a runner's announcement that it shuts down may be answered. */
+enum class AnnouncementAnswer : std::uint8_t
+{
+  Now,
+  /** At RunSupervisorPort::OnRunnerReleased(). */
+  WhenReleased
+};
+
 struct RunSupervisorLimits
 {
   /**
@@ -88,11 +96,13 @@
   void OnRunnerReport(const RunnerReport& aReport, MonotonicTime aNow);
   /**
    * Handles the runner's announcement that it shuts down, which it does at once
-   * when it is answered, or later without an answer. Stops its runs; the answer
-   * may be sent after RunSupervisorPort::OnRunnerReleased(), which may be
-   * called before this returns.
+   * when it is answered, or later without an answer. Stops its runs. Returns
+   * when the announcement may be answered. aStartedMs: the start time in the
+   * announcement, if it has one; that of another incarnation changes nothing.
    */
-  void OnRunnerLeaving(const std::string& aRunner, MonotonicTime aNow);
+  AnnouncementAnswer OnRunnerLeaving(const std::string& aRunner,
+                                     std::optional<std::int64_t> aStartedMs,
+                                     MonotonicTime aNow);
 
   void OnStartAnswered(const RunKey& aKey,
                        std::uint64_t aToken,
@@ -270,6 +280,7 @@
    */
   void ReleaseRunnerIfDue(MonotonicTime aNow);
   void ReleaseRunner(MonotonicTime aNow);
+  bool AreEndsKnown() const;
   /** Whether the runner was seen not to answer for a while. */
   bool IsRunnerSilent(MonotonicTime aNow) const;
   /** Tells all entries which runs were at work as the runner was lost. */
--- a/Libraries/LibJob/RunSupervisorDeparture.cpp
+++ b/Libraries/LibJob/RunSupervisorDeparture.cpp
@@ -10,29 +10,44 @@
 constexpr Milliseconds kMaxReleaseDelay{ 500 };
 }
 
-void
-RunSupervisor::OnRunnerLeaving(const std::string& aRunner, MonotonicTime aNow)
+AnnouncementAnswer
+RunSupervisor::OnRunnerLeaving(const std::string& aRunner,
+                               std::optional<std::int64_t> aStartedMs,
+                               MonotonicTime aNow)
 {
-  if (!runner_ || runner_->report.id != aRunner) {
-    port_.OnRunnerReleased({ aRunner, 0, 0, {} });
-    return;
+  bool isPresent =
+    runner_ && runner_->report.id == aRunner &&
+    aStartedMs.value_or(runner_->report.startedMs) == runner_->report.startedMs;
+  if (!isPresent) {
+    return AnnouncementAnswer::Now;
   }
   runner_->isLeaving = true;
   ++statusRevision_;
-  if (!departure_) {
-    departure_ = Departure{ aRunner, aNow, CountOccupyingRuns() };
-  }
   ResolveSuspectedLosses(protocol::LossState::Retracted);
   ReturnQueue(protocol::RunOutcome::Leaving, aNow);
+  FlushReports();
+  if (AreEndsKnown()) {
+    return AnnouncementAnswer::Now;
+  }
   // The announcement is no proof that a run has ended: without an answer the
   // runner goes on for seconds. The answer ends the runs that are left, so it
   // waits until the runner has listed them as ended.
+  if (!departure_) {
+    departure_ = Departure{ aRunner, aNow, CountOccupyingRuns() };
+  }
   for (auto& item : runs_) {
     Stop(item.second, StopReason::RunnerLeaving, aNow);
   }
-  ReleaseRunnerIfDue(aNow);
   CallHoldIfNeeded(aNow);
-  FlushReports();
+  return AnnouncementAnswer::WhenReleased;
+}
+
+bool
+RunSupervisor::AreEndsKnown() const
+{
+  bool areAcknowledged = runner_->lastSeen == runner_->acknowledgedEnd;
+  return CountOccupyingRuns() == 0 &&
+         (areAcknowledged || !runner_->isReachable);
 }
 
 void
@@ -41,10 +56,8 @@
   if (!departure_) {
     return;
   }
-  bool areEndsAcknowledged = runner_->lastSeen == runner_->acknowledgedEnd;
-  bool isIdle =
-    CountOccupyingRuns() == 0 && (areEndsAcknowledged || !runner_->isReachable);
-  if (isIdle || aNow - departure_->announcedAt >= kMaxReleaseDelay) {
+  bool isOverdue = aNow - departure_->announcedAt >= kMaxReleaseDelay;
+  if (AreEndsKnown() || isOverdue) {
     ReleaseRunner(aNow);
   }
 }
--- a/Libraries/LibJob/RunSupervisorPort.h
+++ b/Libraries/LibJob/RunSupervisorPort.h
@@ -37,7 +37,7 @@
   /** For logs only: this incarnation of the runner is served from now on. */
   virtual void OnRunnerAdopted(const RunnerReport& aReport,
                                std::uint64_t aToken) = 0;
-  /** The announcements of aEvent.runner that it shuts down may be answered. */
+  /** The announcements that wait for it may be answered. */
   virtual void OnRunnerReleased(const RunnerReleased& aEvent) = 0;
 };
 
--- a/Services/Agent/JobAgent.cpp
+++ b/Services/Agent/JobAgent.cpp
@@ -189,8 +189,15 @@
 JobAgent::OnLeaving(const Exchange& aExchange, const std::string& aRunner)
 {
   Log::Write(Event::RunnerLeft, { { "runner", aRunner } });
-  announcements_.emplace(aRunner, aExchange);
-  supervisor_.OnRunnerLeaving(aRunner, MonotonicNow());
+  auto answer = supervisor_.OnRunnerLeaving(
+    aRunner,
+    wire::ParseAnnouncedStart(aExchange->Request().body),
+    MonotonicNow());
+  if (answer == job::AnnouncementAnswer::Now) {
+    aExchange->Reply(kHttpOk, "{}");
+    return;
+  }
+  announcements_.push_back(aExchange);
 }
 
 void
@@ -204,11 +211,10 @@
   if (aEvent.runsLeft > 0) {
     metrics_.Counter("vanillaworks_unconfirmed_departures_total").Increment();
   }
-  auto [begin, end] = announcements_.equal_range(aEvent.runner);
-  for (auto announcement = begin; announcement != end; ++announcement) {
-    announcement->second->Reply(kHttpOk, "{}");
+  for (const auto& announcement : announcements_) {
+    announcement->Reply(kHttpOk, "{}");
   }
-  announcements_.erase(begin, end);
+  announcements_.clear();
 }
 
 void
--- a/Services/Agent/JobAgent.h
+++ b/Services/Agent/JobAgent.h
@@ -13,9 +13,9 @@
 #include "platform/StoreClient.h"
 #include "platform/TableFeed.h"
 
-#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace vanillaworks::agent {
 
@@ -90,8 +90,8 @@
   wire::TableFeed feed_;
   std::unique_ptr<service::LoopHttpServer> controlServer_;
   std::unique_ptr<service::LoopHttpServer> metricsServer_;
-  /** Announcements of runners that shut down, until they are answered. */
-  std::multimap<std::string, Exchange> announcements_;
+  /** The runner's announcements that it shuts down, until it is released. */
+  std::vector<Exchange> announcements_;
   bool isStopping_ = false;
   MonotonicTime stopStartedAt_;
   MonotonicTime lastEntriesReadAt_;
--- a/Tests/LibJob/RunEvidenceTest.cpp
+++ b/Tests/LibJob/RunEvidenceTest.cpp
@@ -59,7 +59,7 @@
   }
   SECTION("the runner has announced that it shuts down")
   {
-    run.supervisor.OnRunnerLeaving("r1", run.now);
+    run.supervisor.OnRunnerLeaving("r1", {}, run.now);
     CHECK(run.events.empty());
     run.startedMs += 5000;
     run.sequence = 0;
--- a/Tests/LibJob/RunnerSuccessionTest.cpp
+++ b/Tests/LibJob/RunnerSuccessionTest.cpp
@@ -93,7 +93,7 @@
   }
   SECTION("it has announced its shutdown")
   {
-    fixture.supervisor.OnRunnerLeaving("r1", fixture.now);
+    fixture.supervisor.OnRunnerLeaving("r1", {}, fixture.now);
   }
   auto next = Stranger(fixture);
   fixture.startedMs = next.startedMs;
--- a/Tests/LibJob/SimulatedJobCluster.cpp
+++ b/Tests/LibJob/SimulatedJobCluster.cpp
@@ -238,11 +238,13 @@
   void SaveReport(const job::RunnerReport&) override {}
   void OnRunnerAdopted(const job::RunnerReport&, std::uint64_t) override {}
   void OnReportIgnored(const job::RunnerReport&) override {}
-  void OnRunnerReleased(const job::RunnerReleased& aEvent) override
+  void OnRunnerReleased(const job::RunnerReleased&) override
   {
-    // The answer reaches the incarnation that awaits one, if it isn't lost.
-    bool isAwaited = isLeaving && aEvent.runner == runner->Identity().id;
-    if (!isAwaited || cluster.now_ < answersLostUntil) {
+    AnswerAnnouncement();
+  }
+  void AnswerAnnouncement()
+  {
+    if (!isLeaving || cluster.now_ < answersLostUntil) {
       return;
     }
     auto born = runner->Identity().startedMs;
@@ -888,7 +890,11 @@
   auto identity = node.runner->Identity();
   Schedule(kRunnerNetworkDelay, [this, &node, identity] {
     WhenAwake(node.index, [this, &node, identity] {
-      node.supervisor->OnRunnerLeaving(identity.id, now_);
+      auto answer =
+        node.supervisor->OnRunnerLeaving(identity.id, identity.startedMs, now_);
+      if (answer == job::AnnouncementAnswer::Now) {
+        node.AnswerAnnouncement();
+      }
     });
   });
   constexpr Milliseconds kUnansweredStay{ 3000 };
--- a/Tests/platform/CodecTest.cpp
+++ b/Tests/platform/CodecTest.cpp
@@ -201,6 +201,14 @@
   CHECK_FALSE(isComplete(R"(,"running":[],"finished":[["x"]]})"));
 }
 
+TEST_CASE("the start time in an announcement to leave is optional")
+{
+  CHECK(ParseAnnouncedStart(R"({"born":1700000000000})") == 1'700'000'000'000);
+  CHECK_FALSE(ParseAnnouncedStart(""));
+  CHECK_FALSE(ParseAnnouncedStart("{}"));
+  CHECK_FALSE(ParseAnnouncedStart(R"({"born":"x"})"));
+}
+
 TEST_CASE("a refused stop whose reason can't be read is not accepted")
 {
   CHECK(ParseStopResponse(409, R"({"reason":"fence"})") ==
