LibJob: Let all entries know which jobs were cancelled

Cause: only the entry that had served the job knew, and for 5 s; a job whose runs were being stopped was taken up again before even that was looked at.

The entry that takes a DELETE, for whichever job, tells three linked agents in turn, at most every 100 ms; agents tell all other entries, and those that link later. Ruled out: a row in the store (its outages and a read for each job), all agents (messages grow with the fleet).

--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -16,6 +16,10 @@
  * than the time after which a caller that has gone tries another entry.
  */
 constexpr Milliseconds kCallerCheckInterval{ 100 };
+/** Bounds the messages in a wave of cancellations. */
+constexpr Milliseconds kAnnounceInterval{ 100 };
+/** More than one, since an agent may be lost before it has told the others. */
+constexpr std::size_t kRelays = 3;
 }
 
 JobDispatcher::JobDispatcher(JobDispatcherLimits aLimits,
@@ -26,6 +30,7 @@
   , control_(aControl)
   , port_(aPort)
   , placement_(aSeed)
+  , cancelledJobs_(aLimits.maxCancelledJobs)
 {
 }
 
@@ -38,6 +43,11 @@
 void
 JobDispatcher::Submit(JobRequest aRequest, WaiterId aWaiter, MonotonicTime aNow)
 {
+  if (cancelledJobs_.Contains(aRequest.id)) {
+    port_.Answer(
+      aWaiter, aRequest, { JobState::Cancelled, JobReason::ByCaller, {} });
+    return;
+  }
   auto known = jobs_.find(aRequest.id);
   if (known != jobs_.end()) {
     Reattach(known->second, aWaiter, aNow);
@@ -131,6 +141,50 @@
 
 bool
 JobDispatcher::Cancel(const SubmissionId& aJob, MonotonicTime aNow)
+{
+  // The job may be served by another entry, or its request may arrive later.
+  if (cancelledJobs_.Add(aJob, aNow)) {
+    unannouncedJobs_.push_back(aJob);
+  }
+  return FinishCancelled(aJob, aNow);
+}
+
+void
+JobDispatcher::OnCancelledElsewhere(const protocol::CancelledJobs& aCancelled,
+                                    MonotonicTime aNow)
+{
+  for (const auto& job : aCancelled.jobs) {
+    if (cancelledJobs_.Add(job, aNow)) {
+      FinishCancelled(job, aNow);
+    }
+  }
+}
+
+void
+JobDispatcher::AnnounceCancelledJobs(MonotonicTime aNow)
+{
+  if (unannouncedJobs_.empty() || aNow - announcedAt_ < kAnnounceInterval) {
+    return;
+  }
+  announcedAt_ = aNow;
+  std::size_t told = 0;
+  auto next = views_.upper_bound(lastRelay_);
+  for (std::size_t i = 0; i < views_.size() && told < kRelays; ++i) {
+    next = next == views_.end() ? views_.begin() : next;
+    const auto& [upstream, view] = *next++;
+    if (view.IsLinked()) {
+      port_.SendToAgent(upstream, protocol::CancelledJobs{ unannouncedJobs_ });
+      lastRelay_ = upstream;
+      ++told;
+    }
+  }
+  if (told > 0) {
+    unannouncedJobs_.clear();
+  }
+}
+
+bool
+JobDispatcher::FinishCancelled(const SubmissionId& aJob, MonotonicTime aNow)
 {
   auto found = jobs_.find(aJob);
   if (found == jobs_.end() || found->second.intent == JobIntent::Abandon) {
@@ -464,7 +518,9 @@
     ExpireUnknown(item.second, aNow);
   }
   RetryWaitingJobs(aNow);
+  AnnounceCancelledJobs(aNow);
   lostRunners_.OnTick(aNow);
+  cancelledJobs_.OnTick(aNow);
   std::erase_if(answered_, [aNow](const auto& aItem) {
     return aItem.second.expires <= aNow;
   });
--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
+#include "LibJob/CancelledJobMemory.h"
 #include "LibJob/ControlView.h"
 #include "LibJob/DrainRate.h"
 #include "LibJob/Job.h"
@@ -11,6 +12,7 @@
 #include "LibJob/Placement.h"
 #include "LibJob/StartedJobs.h"
 #include "LibJob/UpstreamView.h"
+#include "LibProtocol/CancelledJobs.h"
 #include "LibProtocol/RunReport.h"
 #include "LibProtocol/RunResume.h"
 
@@ -41,6 +43,8 @@
   /** Reserved before the deadline for the answer to reach the caller. */
   Milliseconds deadlineMargin{ 30 };
   std::size_t maxJobs = 20'000;
+  /** Cancelled jobs that are remembered, so that none of them starts again. */
+  std::size_t maxCancelledJobs = 20'000;
 };
 
 /**
@@ -66,7 +70,10 @@
   void Submit(JobRequest aRequest, WaiterId aWaiter, MonotonicTime aNow);
   /** Handles a disconnected caller; the runs of its job are stopped. */
   void OnWaiterDisconnected(const SubmissionId& aJob, WaiterId aWaiter);
-  /** Returns false if the job is not served by this entry. */
+  /**
+   * Cancels the job for good, at the other entries too. Returns false if it is
+   * not served by this entry.
+   */
   bool Cancel(const SubmissionId& aJob, MonotonicTime aNow);
   /** Whether this entry currently serves the job. */
   bool IsServing(const SubmissionId& aJob) const;
@@ -99,6 +106,9 @@
   void OnLostRuns(const UpstreamId& aUpstream,
                   const protocol::LostRuns& aLost,
                   MonotonicTime aNow);
+  /** Handles jobs that were cancelled at another entry. */
+  void OnCancelledElsewhere(const protocol::CancelledJobs& aCancelled,
+                            MonotonicTime aNow);
   void OnReport(const UpstreamId& aUpstream,
                 const protocol::RunReport& aReport,
                 MonotonicTime aNow);
@@ -131,6 +141,11 @@
 
   /** Whether a task of the job has run or may have run. */
   bool MayHaveStarted(const SubmissionId& aJob) const;
+  /** Returns false if no caller of this entry waits for the job. */
+  bool FinishCancelled(const SubmissionId& aJob, MonotonicTime aNow);
+  /** Tells some agents which jobs were cancelled here; they tell all entries.
+   */
+  void AnnounceCancelledJobs(MonotonicTime aNow);
   void Reattach(Job& aJob, WaiterId aWaiter, MonotonicTime aNow);
   /** Places waiting tasks and answers the job if it is over. May erase aJob. */
   void Advance(Job& aJob, MonotonicTime aNow);
@@ -188,6 +203,11 @@
   MonotonicTime lastRetryAt_;
   std::unordered_map<SubmissionId, Answered> answered_;
   StartedJobs startedJobs_;
+  CancelledJobMemory cancelledJobs_;
+  std::vector<SubmissionId> unannouncedJobs_;
+  MonotonicTime announcedAt_;
+  /** The agent that told other entries of cancelled jobs last. */
+  UpstreamId lastRelay_;
 };
 
 }
--- a/Libraries/LibProtocol/Message.h
+++ b/Libraries/LibProtocol/Message.h
@@ -3,6 +3,7 @@
 
 #include "LibProtocol/AgentHello.h"
 #include "LibProtocol/Cancel.h"
+#include "LibProtocol/CancelledJobs.h"
 #include "LibProtocol/ConfigurationUpdate.h"
 #include "LibProtocol/ControlRequest.h"
 #include "LibProtocol/ControlUpdate.h"
@@ -53,7 +54,8 @@
                              ControlUpdate,
                              ControlRequest,
                              UpstreamFigures,
-                             LostRuns>;
+                             LostRuns,
+                             CancelledJobs>;
 
 /** The message type's name as used in metric labels. Thread safe. */
 inline std::string
@@ -82,7 +84,8 @@
     "control_update",
     "control_request",
     "upstream_figures",
-    "lost_runs"
+    "lost_runs",
+    "cancelled_jobs"
   };
   return kNames[aMessage.index()];
 }
--- a/Services/Agent/JobAgentLinks.cpp
+++ b/Services/Agent/JobAgentLinks.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds kConnectTimeout{ 200 };
 /** The status interval grows with the entries, so that its cost does not. */
 constexpr Milliseconds kStatusIntervalPerEntry{ 8 };
+/** Bounds what a new link is told. */
+constexpr std::size_t kMaxCancelledJobs = 2000;
 }
 
 JobAgentLinks::JobAgentLinks(event_base* aBase,
@@ -25,6 +27,7 @@
   , controlExchange_(aControlExchange)
   , supervisor_(aSupervisor)
   , linkManager_(aBase, {}, *this)
+  , cancelledJobs_(kMaxCancelledJobs)
   , addressesFromSettings_(aEntries.begin(), aEntries.end())
 {
   AddEntryAddresses(aEntries);
@@ -123,6 +126,7 @@
 JobAgentLinks::OnTick(MonotonicTime aNow)
 {
   ConnectMissing(aNow);
+  cancelledJobs_.OnTick(aNow);
   for (auto& [linkId, session] : sessions_) {
     MaintainLink(linkId, session, aNow);
   }
@@ -244,6 +248,10 @@
   linkByEntry_[aResume.entry] = aLink;
   Log::Write(Event::LinkOpened, { { "entry", aResume.entry.Value() } });
   supervisor_.OnResume(aResume, aNow);
+  auto cancelled = cancelledJobs_.All();
+  if (!cancelled.empty()) {
+    SendOn(aLink, aSession, protocol::CancelledJobs{ std::move(cancelled) });
+  }
 }
 
 void
@@ -259,11 +267,36 @@
     supervisor_.OnCancel(aSession.entry, *cancel, aNow);
     return;
   }
+  if (const auto* cancelled = std::get_if<protocol::CancelledJobs>(&aMessage)) {
+    RelayCancelledJobs(aSession.entry, *cancelled, aNow);
+    return;
+  }
   if (const auto* list = std::get_if<protocol::EntryList>(&aMessage)) {
     AddEntryAddresses(list->addresses);
   }
 }
 
+void
+JobAgentLinks::RelayCancelledJobs(const EntryId& aFrom,
+                                  const protocol::CancelledJobs& aCancelled,
+                                  MonotonicTime aNow)
+{
+  protocol::CancelledJobs news;
+  for (const auto& job : aCancelled.jobs) {
+    if (cancelledJobs_.Add(job, aNow)) {
+      news.jobs.push_back(job);
+    }
+  }
+  if (news.jobs.empty()) {
+    return;
+  }
+  for (const auto& [entry, linkId] : linkByEntry_) {
+    if (entry != aFrom) {
+      SendOn(linkId, sessions_.at(linkId), news);
+    }
+  }
+}
+
 void
 JobAgentLinks::OnLinkDown(link::LinkId aLink, link::LinkCloseReason aReason)
 {
--- a/Services/Agent/JobAgentLinks.h
+++ b/Services/Agent/JobAgentLinks.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
+#include "LibJob/CancelledJobMemory.h"
 #include "LibJob/ControlView.h"
 #include "LibJob/RunSupervisor.h"
 #include "LibLink/LinkManager.h"
@@ -91,11 +92,16 @@
   void OnMessage(Session& aSession,
                  const protocol::Message& aMessage,
                  MonotonicTime aNow);
+  /** Tells the other entries of jobs that were cancelled at aFrom. */
+  void RelayCancelledJobs(const EntryId& aFrom,
+                          const protocol::CancelledJobs& aCancelled,
+                          MonotonicTime aNow);
 
   const job::ControlView& control_;
   service::ControlExchange& controlExchange_;
   job::RunSupervisor& supervisor_;
   link::LinkManager linkManager_;
+  job::CancelledJobMemory cancelledJobs_;
   std::set<std::string> addressesFromSettings_;
   std::map<std::string, link::ReconnectBackoff> endpoints_;
   std::map<link::LinkId, Session> sessions_;
--- a/Services/Entry/JobEntryLinks.cpp
+++ b/Services/Entry/JobEntryLinks.cpp
@@ -107,6 +107,10 @@
   if (const auto* lost = std::get_if<protocol::LostRuns>(&aFrame.message)) {
     dispatcher_.OnLostRuns(session.upstream, *lost, now);
   }
+  if (const auto* cancelled =
+        std::get_if<protocol::CancelledJobs>(&aFrame.message)) {
+    dispatcher_.OnCancelledElsewhere(*cancelled, now);
+  }
   if (auto* report = std::get_if<protocol::RunReport>(&aFrame.message)) {
     dispatcher_.OnReport(session.upstream, *report, now);
   }
--- a/Tests/Agent/JobAgentLinksTest.cpp
+++ b/Tests/Agent/JobAgentLinksTest.cpp
@@ -37,7 +37,13 @@
   {
     id = aLink;
   }
-  void OnLinkFrame(link::LinkId, protocol::Frame) override {}
+  void OnLinkFrame(link::LinkId, protocol::Frame aFrame) override
+  {
+    if (auto* cancelled =
+          std::get_if<protocol::CancelledJobs>(&aFrame.message)) {
+      cancelledJobs = cancelled->jobs;
+    }
+  }
   void OnLinkDown(link::LinkId, link::LinkCloseReason) override
   {
     isClosed = true;
@@ -51,6 +57,8 @@
   link::LinkManager links;
   std::optional<link::LinkId> id;
   bool isClosed = false;
+  /** The latest that it was told of. */
+  std::vector<SubmissionId> cancelledJobs;
 };
 
 /** What the links of an agent need. */
@@ -92,6 +100,40 @@
   agent.SendStatusNow();
 }
 
+TEST_CASE("an agent tells all other entries of cancelled jobs, new ones too")
+{
+  const std::string otherAddress = LoopbackAddress(28436);
+  const std::string lateAddress = LoopbackAddress(28437);
+  const std::vector jobs{ SubmissionId("0000000000000001") };
+  Fixture fixture;
+  FakeEntry entry(fixture.base.get());
+  FakeEntry other(fixture.base.get());
+  FakeEntry late(fixture.base.get());
+  REQUIRE_FALSE(entry.links.Listen(kAddress).IsError());
+  REQUIRE_FALSE(other.links.Listen(otherAddress).IsError());
+  REQUIRE_FALSE(late.links.Listen(lateAddress).IsError());
+  JobAgentLinks agent(fixture.base.get(),
+                      { kAddress, otherAddress },
+                      fixture.control,
+                      fixture.exchange,
+                      fixture.supervisor);
+  agent.OnTick(MonotonicNow());
+  RunFor(fixture.base.get(), Milliseconds(100));
+  entry.SendResume("entry-1");
+  other.SendResume("entry-2");
+  RunFor(fixture.base.get(), Milliseconds(50));
+  entry.links.Send(*entry.id, { {}, protocol::CancelledJobs{ jobs } });
+  RunFor(fixture.base.get(), Milliseconds(100));
+  CHECK(other.cancelledJobs == jobs);
+  CHECK(entry.cancelledJobs.empty());
+  agent.SetEntryAddresses({ kAddress, otherAddress, lateAddress });
+  agent.OnTick(MonotonicNow());
+  RunFor(fixture.base.get(), Milliseconds(100));
+  late.SendResume("entry-3");
+  RunFor(fixture.base.get(), Milliseconds(100));
+  CHECK(late.cancelledJobs == jobs);
+}
+
 TEST_CASE("an entry that is no longer listed is forgotten")
 {
   Fixture fixture;
--- a/Tests/System/PlatformDeployment.cpp
+++ b/Tests/System/PlatformDeployment.cpp
@@ -360,6 +360,15 @@
     "http://" + Address(kFirstEntryHostNumber + aEntry, kFrontPort) + aPath));
 }
 
+CallerAnswer
+PlatformDeployment::Cancel(std::size_t aEntry, const std::string& aId) const
+{
+  platform::HttpClient client(kCallTimeout);
+  return ToCallerAnswer(client.Delete(
+    "http://" + Address(kFirstEntryHostNumber + aEntry, kFrontPort) +
+    "/tally/" + aId));
+}
+
 std::string
 PlatformDeployment::EntryMetrics(std::size_t aEntry) const
 {
--- a/Tests/System/PlatformDeployment.h
+++ b/Tests/System/PlatformDeployment.h
@@ -117,6 +117,7 @@
                                  int aTaskMilliseconds,
                                  Milliseconds aTimeout = kCallTimeout) const;
   CallerAnswer Get(std::size_t aEntry, const std::string& aPath) const;
+  CallerAnswer Cancel(std::size_t aEntry, const std::string& aId) const;
   bool IsReady(std::size_t aEntry) const;
 
   /** Writes the configuration, with or without routes to "/tally/". */
--- a/Tests/System/PlatformTest.cpp
+++ b/Tests/System/PlatformTest.cpp
@@ -382,6 +382,30 @@
   CHECK(deployment.Get(1, "/tally/").status == 200);
 }
 
+// Only the entry that had served the job knew that it was cancelled.
+TEST_CASE(
+  "a job that is cancelled at one entry stops at the others and doesn't "
+  "start there again",
+  "[platform-entry]")
+{
+  PlatformDeployment deployment({});
+  REQUIRE(deployment.WaitUntilReady());
+  auto job = PlatformDeployment::JobId(800);
+  auto answer = std::async(std::launch::async, [&deployment, &job] {
+    return deployment.Submit(0, job, 3, 5000);
+  });
+  REQUIRE(WaitForRuns(deployment, job, 3).size() == 3);
+  deployment.Cancel(1, job);
+  auto cancelled = answer.get();
+  CHECK(cancelled.status == 200);
+  CHECK(cancelled.body == R"({"state":"cancelled"})");
+  for (std::size_t entry = 0; entry < 2; ++entry) {
+    auto again = deployment.Submit(entry, job, 3, 60);
+    CHECK(again.body == R"({"state":"cancelled"})");
+  }
+  CHECK(WaitForRuns(deployment, job, 3).size() == 3);
+}
+
 // The announcement was taken for the end of the runner's tasks.
 TEST_CASE("a runner's announcement to leave gets no answer and no task runs "
           "twice at once",
