Entry, platform: Bound times from outside before they are added

Reports of runners whose `born` or `clockMs` is negative or beyond 10^15 ms are rejected, since the fencing token is their sum.

--- a/Services/Entry/JobEntry.cpp
+++ b/Services/Entry/JobEntry.cpp
@@ -1,10 +1,10 @@
 #include "Services/Entry/JobEntry.h"
 
 #include "LibCore/Log.h"
+#include "Services/Entry/CallerTimeout.h"
 #include "platform/OperatorRows.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace vanillaworks::entry {
 
@@ -27,7 +27,6 @@
 constexpr Milliseconds kStopMargin{ 400 };
 /** The longest time for which a dead connection hides that an entry joined. */
 constexpr Milliseconds kMemberFeedTimeout{ 10'000 };
-constexpr Milliseconds kDefaultTimeout{ 5000 };
 constexpr const char* kMembersTable = "entries";
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -241,23 +240,6 @@
   Send(*aExchange, isKnown ? wire::RunningJobReply() : wire::NoSuchJobReply());
 }
 
-Milliseconds
-JobEntry::TimeoutOf(const service::LoopHttpExchange& aExchange,
-                    const protocol::RouteRow& aRoute) const
-{
-  auto header = aExchange.Header(wire::kDeadlineHeader);
-  std::int64_t headerTimeoutMs = 0;
-  if (header) {
-    std::from_chars(
-      header->data(), header->data() + header->size(), headerTimeoutMs);
-  }
-  if (headerTimeoutMs > 0) {
-    return Milliseconds(headerTimeoutMs);
-  }
-  return aRoute.timeoutMs > 0 ? Milliseconds(aRoute.timeoutMs)
-                              : kDefaultTimeout;
-}
-
 void
 JobEntry::OnNewJob(const Exchange& aExchange,
                    const protocol::RouteRow& aRoute,
@@ -280,7 +262,9 @@
   job.id = *id;
   job.route = aRoute;
   job.arrival = aArrival;
-  job.deadline = aArrival + TimeoutOf(*aExchange, aRoute);
+  job.deadline =
+    aArrival +
+    CallerTimeout(aExchange->Header(wire::kDeadlineHeader), aRoute.timeoutMs);
   if (!CanFinishBeforeStop(job) && !dispatcher_.MayRun(*id)) {
     Reject(aExchange, "stopping");
     return;
--- a/Services/Entry/JobEntry.h
+++ b/Services/Entry/JobEntry.h
@@ -101,9 +101,6 @@
   void OnMembers(const wire::TableFeed::Rows& aRows);
   void OnTick();
   void CheckStop(MonotonicTime aNow);
-  /** How long the caller waits: by its header, the route, or the default. */
-  Milliseconds TimeoutOf(const service::LoopHttpExchange& aExchange,
-                         const protocol::RouteRow& aRoute) const;
   static void Send(service::LoopHttpExchange& aExchange,
                    const wire::Reply& aReply);
 
--- a/Tests/platform/CodecTest.cpp
+++ b/Tests/platform/CodecTest.cpp
@@ -137,6 +137,24 @@
   }
 }
 
+TEST_CASE("a runner report with times that sums can't hold is rejected")
+{
+  auto report =
+    nlohmann::json::parse(R"({"service":"s","address":"a:1","zone":"z",
+    "state":"ready","capacity":{"cpu":16000,"memMb":1},"labels":[],
+    "clockMs":1,"born":2,"seq":3})");
+  for (const auto* field : { "clockMs", "born" }) {
+    INFO(field);
+    for (std::int64_t time :
+         { std::int64_t{ -1 }, std::numeric_limits<std::int64_t>::max() }) {
+      INFO(time);
+      auto changed = report;
+      changed[field] = time;
+      CHECK_FALSE(ParseRunnerReport("r1", changed.dump()));
+    }
+  }
+}
+
 TEST_CASE("a stored report is read back without sequence and clock")
 {
   job::RunnerReport report;
