--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -7,9 +7,11 @@
 #include "LibJob/ResponseTimeEstimator.h"
 #include "LibJob/Run.h"
 #include "LibJob/RunSupervisorPort.h"
-#include "LibJob/RunnerClock.h"
+#include "LibJob/RunnerDeparture.h"
 #include "LibJob/RunnerHealth.h"
+#include "LibJob/RunnerIncarnation.h"
 #include "LibJob/RunnerReport.h"
+#include "LibJob/RunnerVerification.h"
 #include "LibProtocol/RunOrder.h"
 #include "LibProtocol/RunReport.h"
 #include "LibProtocol/RunResume.h"
@@ -145,35 +147,6 @@
   std::uint64_t StatusRevision() const { return statusRevision_; }
 
 private:
-  /** The current incarnation of the runner. */
-  struct RunnerIncarnation
-  {
-    explicit RunnerIncarnation(double aMaxClockDrift)
-      : clock(aMaxClockDrift)
-    {
-    }
-
-    RunnerReport report;
-    std::uint64_t token = 0;
-    RunnerClock clock;
-    std::uint64_t lastSeen = 0;
-    std::uint64_t acknowledgedEnd = 0;
-    /** The runner has no runs that are unknown to this process. */
-    bool isReconciled = false;
-    /** The runner has announced that it shuts down; nothing is started. */
-    bool isLeaving = false;
-    /** The runner answers calls; nothing is started while it does not. */
-    bool isReachable = true;
-    MonotonicTime unreachableSince;
-    /** Whether entries were told that the room is known; see IsRoomKnown(). */
-    bool isRoomKnown = true;
-    MonotonicTime lastAnswerAt;
-    MonotonicTime nextHoldAt;
-    /** When the leases of all started runs have expired. */
-    MonotonicTime leasesExpireAt;
-    /** End of the longest lease that was asked for, by an exact clock. */
-    MonotonicTime requestedLeaseEnd;
-  };
   struct PendingHold
   {
     std::uint64_t number;
@@ -182,28 +155,6 @@
     std::uint64_t lastSeen;
     MonotonicTime overdueAt;
   };
-  /** A reported incarnation that has not answered a call yet. */
-  struct Verification
-  {
-    RunnerReport report;
-    /** The latest that is known of the runner's clock. */
-    std::int64_t clockMs = 0;
-    std::uint64_t token = 0;
-    /** How often a token has been refused as too low. */
-    int refusals = 0;
-    /** The calls that await an answer; the first answer counts. */
-    std::set<std::uint64_t> calls;
-    MonotonicTime repeatAt;
-    MonotonicTime expiresAt;
-  };
-  /** An announced shutdown that has not been answered. */
-  struct Departure
-  {
-    std::string runner;
-    MonotonicTime announcedAt;
-    /** Number of runs that may have been active at that time. */
-    std::size_t runs;
-  };
   struct EntrySession
   {
     MonotonicTime revalidatedAt;
@@ -435,8 +386,8 @@
   /** Response times of start calls. */
   ResponseTimeEstimator startResponseTimes_;
   std::optional<RunnerIncarnation> runner_;
-  std::optional<Departure> departure_;
-  std::optional<Verification> verification_;
+  std::optional<RunnerDeparture> departure_;
+  std::optional<RunnerVerification> verification_;
   /** The latest report received during the verification. */
   std::optional<RunnerReport> nextReport_;
   /**
--- a/Libraries/LibJob/RunSupervisorAdoption.cpp
+++ b/Libraries/LibJob/RunSupervisorAdoption.cpp
@@ -58,7 +58,7 @@
     nextReport_ = aReport;
     return;
   }
-  Verification verification;
+  RunnerVerification verification;
   verification.report = aReport;
   verification.clockMs = aClockMs;
   verification.expiresAt = aNow + kVerificationTimeout;
--- a/Libraries/LibJob/RunSupervisorDeparture.cpp
+++ b/Libraries/LibJob/RunSupervisorDeparture.cpp
@@ -33,7 +33,7 @@
   // runner goes on for seconds. The answer ends the runs that are left, so it
   // waits until the runner has listed them as ended.
   if (!departure_) {
-    departure_ = Departure{ aRunner, aNow, CountOccupyingRuns() };
+    departure_ = RunnerDeparture{ aRunner, aNow, CountOccupyingRuns() };
   }
   for (auto& item : runs_) {
     Stop(item.second, StopReason::RunnerLeaving, aNow);
--- a/Tests/LibJob/RunSupervisorFixture.h
+++ b/Tests/LibJob/RunSupervisorFixture.h
@@ -3,6 +3,7 @@
 
 #include "LibJob/RunSupervisor.h"
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -131,6 +132,24 @@
     }
     supervisor.OnOrder(kEntry, order, now);
   }
+  /** Orders a task of another job; returns whether it was started. */
+  bool StartsNewTask()
+  {
+    auto before = starts.size();
+    OrderFor(SubmissionId("00000000000000bb"), 1, 500, 0);
+    return starts.size() > before;
+  }
+  /** Lets time pass in ticks, after each of which aAfterTick is called. */
+  void Pass(Milliseconds aTime, const std::function<void()>& aAfterTick)
+  {
+    constexpr Milliseconds kTick{ 25 };
+    for (auto end = now + aTime; now < end;) {
+      AdvanceTime(kTick);
+      supervisor.OnRevalidated(kEntry, now);
+      supervisor.OnTick(now);
+      aAfterTick();
+    }
+  }
   void AdvanceTime(Milliseconds aTime)
   {
     now += aTime;
--- a/Tests/LibJob/RunnerLeavingTest.cpp
+++ b/Tests/LibJob/RunnerLeavingTest.cpp
@@ -35,13 +35,7 @@
   /** Lets time pass while the entry is well and the runner is silent. */
   void WaitInSilence(Milliseconds aTime)
   {
-    constexpr Milliseconds kTick{ 25 };
-    for (auto end = now + aTime; now < end;) {
-      AdvanceTime(kTick);
-      supervisor.OnRevalidated(kEntry, now);
-      supervisor.OnTick(now);
-      FailCalls();
-    }
+    Pass(aTime, [this] { FailCalls(); });
   }
   void FailCalls()
   {
@@ -58,15 +52,6 @@
     }
   }
 };
-
-/** Orders a task of another job; returns whether it was started. */
-bool
-StartsNewTask(RunSupervisorFixture& aFixture)
-{
-  auto before = aFixture.starts.size();
-  aFixture.OrderFor(SubmissionId("00000000000000bb"), 1, 500, 0);
-  return aFixture.starts.size() > before;
-}
 }
 
 // The announcement was taken for the end of all runs, so that their tasks ran
@@ -106,13 +91,13 @@
   {
     CHECK(fixture.supervisor.OnRunnerLeaving("r1", {}, fixture.now) ==
           AnnouncementAnswer::Now);
-    CHECK_FALSE(StartsNewTask(fixture));
+    CHECK_FALSE(fixture.StartsNewTask());
   }
   SECTION("unknown")
   {
     CHECK(fixture.supervisor.OnRunnerLeaving("r0", {}, fixture.now) ==
           AnnouncementAnswer::Now);
-    CHECK(StartsNewTask(fixture));
+    CHECK(fixture.StartsNewTask());
   }
 }
 
@@ -141,7 +126,7 @@
     REQUIRE(runner.events.size() == 1);
     CHECK(runner.events[0].evidence == EndEvidence::RunnerLeft);
     CHECK(runner.ends == std::vector{ RunOutcome::Stopped });
-    CHECK(StartsNewTask(runner));
+    CHECK(runner.StartsNewTask());
   }
 }
 
@@ -185,7 +170,7 @@
   }
   fixture.AdvanceTime(Milliseconds(50));
   fixture.supervisor.OnTick(fixture.now);
-  CHECK_FALSE(StartsNewTask(fixture));
+  CHECK_FALSE(fixture.StartsNewTask());
   CHECK(fixture.ends == std::vector{ RunOutcome::Leaving });
 }
 
@@ -199,7 +184,7 @@
   runner.AdvanceTime(Milliseconds(1500));
   runner.supervisor.OnRevalidated(kEntry, runner.now);
   runner.supervisor.OnRunnerReport(runner.Report(), runner.now);
-  CHECK(StartsNewTask(runner));
+  CHECK(runner.StartsNewTask());
 }
 
 TEST_CASE("an agent does not stop before its leaving runner was answered")
@@ -225,5 +210,5 @@
     "r1", runner.startedMs - 5000, runner.now);
   CHECK(answer == AnnouncementAnswer::Now);
   CHECK(runner.stops.empty());
-  CHECK(StartsNewTask(runner));
+  CHECK(runner.StartsNewTask());
 }
--- a/Tests/LibJob/RunnerSuccessionTest.cpp
+++ b/Tests/LibJob/RunnerSuccessionTest.cpp
@@ -25,11 +25,7 @@
 void
 Pass(RunSupervisorFixture& aFixture, Milliseconds aTime, bool aAnswers)
 {
-  constexpr Milliseconds kTick{ 25 };
-  for (auto end = aFixture.now + aTime; aFixture.now < end;) {
-    aFixture.AdvanceTime(kTick);
-    aFixture.supervisor.OnRevalidated(kEntry, aFixture.now);
-    aFixture.supervisor.OnTick(aFixture.now);
+  aFixture.Pass(aTime, [&aFixture, aAnswers] {
     auto holds = std::exchange(aFixture.holds, {});
     for (const auto& hold : holds) {
       HoldAnswer answer;
@@ -39,15 +35,7 @@
       }
       aFixture.supervisor.OnHoldAnswered(hold.first, answer, aFixture.now);
     }
-  }
-}
-
-bool
-StartsNewTask(RunSupervisorFixture& aFixture)
-{
-  auto before = aFixture.starts.size();
-  aFixture.OrderFor(SubmissionId("00000000000000bb"), 1, 500, 0);
-  return aFixture.starts.size() > before;
+  });
 }
 }
 
@@ -65,7 +53,7 @@
   CHECK(fixture.ends.empty());
   fixture.AnswerHold(fixture.Answer({ { fixture.Key(0), 50 } }));
   CHECK(fixture.ends.empty());
-  CHECK(StartsNewTask(fixture));
+  CHECK(fixture.StartsNewTask());
 }
 
 TEST_CASE("a runner that answers keeps its place beside one that reports too")
@@ -78,7 +66,7 @@
     fixture.supervisor.OnRunnerReport(fixture.Report(), fixture.now);
   }
   CHECK(fixture.ignored.size() == 3);
-  CHECK(StartsNewTask(fixture));
+  CHECK(fixture.StartsNewTask());
   CHECK(fixture.starts.back().target.id == "r1");
 }
 
@@ -102,7 +90,7 @@
   REQUIRE(fixture.holds.size() == 1);
   CHECK(fixture.holds[0].second.target.id == "r2");
   fixture.AnswerHold(fixture.Answer());
-  CHECK(StartsNewTask(fixture));
+  CHECK(fixture.StartsNewTask());
   CHECK(fixture.starts.back().target.id == "r2");
 }
 
@@ -120,7 +108,7 @@
   fixture.startedMs = second.startedMs;
   fixture.supervisor.OnRunnerReport(second, fixture.now);
   fixture.AnswerHold(fixture.Answer());
-  CHECK(StartsNewTask(fixture));
+  CHECK(fixture.StartsNewTask());
   CHECK(fixture.starts.back().target.id == "r2");
 }
 
@@ -183,7 +171,7 @@
     runner.AnswerHold(runner.Answer());
   }
   CHECK(runner.token > runner.formerToken);
-  CHECK(StartsNewTask(runner));
+  CHECK(runner.StartsNewTask());
 }
 
 TEST_CASE("a report of an incarnation that never answers is given up")
@@ -197,7 +185,7 @@
   runner.startedMs = next.startedMs;
   runner.supervisor.OnRunnerReport(next, runner.now);
   runner.AnswerHold(runner.Answer());
-  CHECK(StartsNewTask(runner));
+  CHECK(runner.StartsNewTask());
 }
 
 TEST_CASE("a delayed report of an earlier incarnation holds up no start")
