Tests: Give each deployment a loopback subnet of its own

A deployment claims its subnet by a listening socket for as long as it exists, and takes the next one that is free.

--- a/Tests/System/PlatformDeployment.cpp
+++ b/Tests/System/PlatformDeployment.cpp
@@ -56,8 +56,6 @@
 PlatformDeployment::PlatformDeployment(PlatformOptions aOptions)
   : options_(std::move(aOptions))
   , programsDirectory_(VANILLAWORKS_PROGRAMS)
-  // Test processes that run at the same time use different subnets.
-  , loopbackSubnet_(static_cast<std::size_t>(::getpid()) % 250 + 1)
 {
   curl_global_init(CURL_GLOBAL_ALL);
   auto pattern =
@@ -102,7 +100,7 @@
 std::string
 PlatformDeployment::Host(std::size_t aNumber) const
 {
-  return fmt::format("127.77.{}.{}", loopbackSubnet_, aNumber);
+  return subnet_.Host(aNumber);
 }
 
 std::string
--- a/Tests/System/PlatformDeployment.h
+++ b/Tests/System/PlatformDeployment.h
@@ -2,6 +2,7 @@
 #define Tests_System_PlatformDeployment_h
 
 #include "LibCore/Time.h"
+#include "Tests/System/LoopbackSubnet.h"
 #include "Tests/System/Process.h"
 
 #include <cstdint>
@@ -166,7 +167,7 @@
   PlatformOptions options_;
   std::filesystem::path directory_;
   std::string programsDirectory_;
-  std::size_t loopbackSubnet_;
+  LoopbackSubnet subnet_;
   std::unique_ptr<Process> store_;
   std::vector<std::unique_ptr<Process>> relays_;
   std::vector<std::unique_ptr<Process>> runners_;
