--- a/Libraries/LibService/MetricsCatalogue.h
+++ b/Libraries/LibService/MetricsCatalogue.h
@@ -26,7 +26,7 @@
   { "vanillaworks_lost_runs_total",
     "runs that ended before they were done, by how the agent knows" },
   { "vanillaworks_unconfirmed_departures_total",
-    "runners that were let go before their runs were known to have ended" },
+    "announced shutdowns that were answered while runs might be active" },
   { "vanillaworks_tasks_released_total",
     "runs of lost agents that count as over" },
   { "vanillaworks_in_flight", "tasks accepted but not ended" },
--- a/Tests/LibJob/RunnerLeavingTest.cpp
+++ b/Tests/LibJob/RunnerLeavingTest.cpp
@@ -101,7 +101,7 @@
   }
 }
 
-TEST_CASE("a leaving runner that answers no calls is let go in time")
+TEST_CASE("a leaving runner that answers no calls is answered in time")
 {
   LeavingRunner runner;
   runner.Leave();
@@ -110,7 +110,7 @@
   CHECK(runner.released[0].runsLeft == 1);
   CHECK(runner.released[0].waited < Milliseconds(1000));
   CHECK(runner.ends.empty());
-  SECTION("its run counts as over when the lease is, and it as no loss")
+  SECTION("its run ends with the lease and counts as no loss")
   {
     runner.WaitInSilence(RunSupervisorLimits{}.grantedLease * 2);
     REQUIRE(runner.events.size() == 1);
@@ -142,7 +142,7 @@
   CHECK(runner.holds[0].second.leaseUntilMs == 0);
 }
 
-TEST_CASE("a runner that left before its next incarnation is adopted is let go")
+TEST_CASE("a leaving runner is answered when its next incarnation is adopted")
 {
   LeavingRunner runner;
   runner.Leave();
