Tests: Let a stand-in runner that is down announce nothing

The records of one runner were missing: its stand-in had ended with "[err] http.c:3008: Assertion TAILQ_FIRST(&evcon->requests) == req failed". The agent's log shows how: a task crashed the runner at 27.3 s (runner_silent), it was told to leave at 28.8 s while it was down, ended again, and listened twice, at 29.3 and 30.8 s; the second server took the place of the first with requests pending.

A runner that is down announces nothing, and one that crashes on its way out begins its next incarnation normally.

--- a/Tests/StandIns/RunnerStandIn.cpp
+++ b/Tests/StandIns/RunnerStandIn.cpp
@@ -146,7 +146,6 @@
   auto life = crashCount_;
   auto end = [this, life] {
     if (life == crashCount_) {
-      mode_ = "up";
       GoDown();
     }
   };
@@ -171,6 +170,9 @@
 RunnerStandIn::GoDown()
 {
   ++crashCount_;
+  if (mode_.starts_with("leaving")) {
+    mode_ = "up";
+  }
   server_.reset();
   runner_.Crash(MonotonicNow());
   loop_.RunAfter(kDownTime, [this] {
@@ -268,19 +270,31 @@
   if (body.contains("crashTask")) {
     crashTasks_.insert(body.at("crashTask"));
   }
-  // What was announced is not taken back.
-  if (body.contains("mode") && !mode_.starts_with("leaving")) {
-    mode_ = body.at("mode");
-    if (mode_ == "crashing") {
-      runner_.Crash(MonotonicNow());
-    }
-    if (mode_.starts_with("leaving")) {
-      Leave();
-    }
+  if (body.contains("mode")) {
+    SetMode(body.at("mode"));
   }
   aExchange->Respond(kOk, "{}");
 }
 
+void
+RunnerStandIn::SetMode(const std::string& aMode)
+{
+  // What was announced is not taken back, and a runner that is down announces
+  // nothing.
+  bool isLeaving = mode_.starts_with("leaving");
+  bool mayLeave = server_ != nullptr;
+  if (isLeaving || (aMode.starts_with("leaving") && !mayLeave)) {
+    return;
+  }
+  mode_ = aMode;
+  if (mode_ == "crashing") {
+    runner_.Crash(MonotonicNow());
+  }
+  if (mode_.starts_with("leaving")) {
+    Leave();
+  }
+}
+
 job::RunnerTarget
 RunnerStandIn::ParseTarget(const Json& aBody) const
 {
--- a/Tests/StandIns/RunnerStandIn.h
+++ b/Tests/StandIns/RunnerStandIn.h
@@ -98,6 +98,7 @@
   void RecordStart(const job::RunKey& aKey);
   void RecordEnd(const job::RunKey& aKey);
   void CrashUnder(const job::RunKey& aKey);
+  void SetMode(const std::string& aMode);
   void Leave();
   /** Ends all runs and refuses connections until the next incarnation. */
   void GoDown();
