LibJob: Start queued runs by priority, with guaranteed shares and backfilling

Under load above the capacity, entries estimated the delay of an urgent task by all tasks queued at an agent, although the agent starts urgent ones first; so urgent wide jobs were refused and long ones admitted. Tasks that need more than the gaps of small ones were passed by.

An agent with the setting start_policy "lookahead" starts queued runs by priority, guarantees each priority a share, and keeps resources for the first run that doesn't fit (EASY backfilling). It tells entries the start delay of each priority, which they place by. remote_data_factor of an entry replaces a constant.

--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -25,7 +25,7 @@
   : limits_(aLimits)
   , control_(aControl)
   , port_(aPort)
-  , placement_(aSeed)
+  , placement_(aSeed, aLimits.remoteDataFactor)
   , cancelledJobs_(aLimits.maxCancelledJobs)
 {
 }
--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -42,6 +42,8 @@
   Milliseconds warmUp{ 1000 };
   /** Reserved before the deadline for the answer to reach the caller. */
   Milliseconds deadlineMargin{ 30 };
+  /** How many times as long a task takes on a worker far from its data. */
+  double remoteDataFactor = 1.5;
   std::size_t maxJobs = 20'000;
   /** Cancelled jobs that are remembered, so that none of them starts again. */
   std::size_t maxCancelledJobs = 20'000;
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -68,8 +68,6 @@
 }
 
 namespace {
-/** Queues tasks of late jobs behind all tasks that can still end in time. */
-constexpr std::uint32_t kLatePriority = 1000;
 /**
  * Number of orders that are returned at once for lack of capacity before a task
  * may queue at a worker.
@@ -97,11 +95,14 @@
       continue;
     }
     auto urgency = aJob.isLate ? Urgency::BeforeDeadline : Urgency::InTime;
-    auto place = placement_.Choose(
-      { aJob.request, urgency, task.avoidedWorkers, aJob.tasksPerWorker },
-      views_,
-      control_,
-      aNow);
+    auto place = placement_.Choose({ aJob.request,
+                                     urgency,
+                                     aJob.Priority(),
+                                     task.avoidedWorkers,
+                                     aJob.tasksPerWorker },
+                                   views_,
+                                   control_,
+                                   aNow);
     if (!place) {
       isFullyPlaced = false;
       break;
@@ -122,8 +123,8 @@
     auto& within = startWithin.emplace(place->upstream, allowed).first->second;
     within = std::max(within, allowed);
     // The next task must see the resources of this one as taken.
-    views_[place->upstream].OnOrdered(aJob.request.demand,
-                                      aJob.request.estimate);
+    views_[place->upstream].OnOrdered(
+      aJob.request.demand, aJob.request.estimate, aJob.Priority());
     placed.push_back({ aJob.request.id,
                        i,
                        task.run,
@@ -167,7 +168,7 @@
     order.cpu = request.demand.cpu;
     order.memory = request.demand.memory;
     order.accelerators = request.demand.accelerators;
-    order.priority = request.route.priority + (aJob.isLate ? kLatePriority : 0);
+    order.priority = aJob.Priority();
     order.estimateMs = request.estimate.count();
     order.startWithinMs = aStartWithin.at(upstream).count();
     for (auto index : indices) {
--- a/Libraries/LibJob/Placement.cpp
+++ b/Libraries/LibJob/Placement.cpp
@@ -20,11 +20,6 @@
 constexpr double kHighUtilization = 0.6;
 constexpr Milliseconds kMinRetryAfter{ 1000 };
 constexpr std::int64_t kRetryAfterJitterMs = 1000;
-/**
- * Approximate upper bound on how much longer a task takes on a worker far from
- * its data.
- */
-constexpr double kRemoteDataFactor = 1.5;
 }
 
 bool
@@ -80,9 +75,9 @@
       std::find(status.labels.begin(), status.labels.end(), job.dataRack) ==
         status.labels.end();
     if (isRemoteFromData) {
-      run = std::chrono::duration_cast<Milliseconds>(run * kRemoteDataFactor);
+      run = std::chrono::duration_cast<Milliseconds>(run * remoteDataFactor_);
     }
-    auto startIn = view.EstimateStartDelay(job.demand);
+    auto startIn = view.EstimateStartDelay(job.demand, aRequest.priority);
     shortestWait_ = std::min(shortestWait_, startIn);
     Candidate candidate{
       &upstream, &view, startIn, startIn + run, left - startIn - run
--- a/Libraries/LibJob/Placement.h
+++ b/Libraries/LibJob/Placement.h
@@ -49,6 +49,8 @@
 {
   const JobRequest& job;
   Urgency urgency;
+  /** Priority at the agent's queue. */
+  std::uint32_t priority;
   /** Workers on which the task has failed. */
   const std::set<UpstreamId>& avoidedWorkers;
   /** Number of the job's tasks that each worker already has. */
@@ -69,8 +71,13 @@
 public:
   using Views = std::map<UpstreamId, UpstreamView>;
 
-  explicit Placement(std::uint64_t aSeed)
+  /**
+   * aRemoteDataFactor: how many times as long a task takes on a worker far from
+   * its data.
+   */
+  Placement(std::uint64_t aSeed, double aRemoteDataFactor)
     : random_(aSeed)
+    , remoteDataFactor_(aRemoteDataFactor)
   {
   }
 
@@ -133,6 +140,7 @@
   static double QueueWeight(const Candidate& aCandidate);
 
   std::mt19937_64 random_;
+  double remoteDataFactor_;
   PlacementFailure reason_ = PlacementFailure::NoWorker;
   bool couldFinishInTime_ = false;
   Milliseconds shortestWait_{ 0 };
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -4,6 +4,7 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
 #include "LibJob/ControlView.h"
+#include "LibJob/FirstFitPolicy.h"
 #include "LibJob/ResponseTimeEstimator.h"
 #include "LibJob/Run.h"
 #include "LibJob/RunSupervisorPort.h"
@@ -21,6 +22,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -74,6 +76,9 @@
    */
   Milliseconds maxReportAge{ 4000 };
   std::size_t maxQueue = 512;
+  /** The order in which queued runs start; not null. */
+  std::shared_ptr<const StartPolicy> startPolicy =
+    std::make_shared<FirstFitPolicy>();
 };
 
 /**
@@ -330,6 +335,11 @@
   /** Whether a run may be active whose task is suspected to crash runners. */
   bool HasSuspectRun() const;
   void StartQueuedRuns(MonotonicTime aNow);
+  /** Returns the queued runs that can't start here any more. */
+  void EndUnstartableRuns(MonotonicTime aNow);
+  /** What the start policy decides by; a runner must be known. */
+  RunnerLoad DescribeLoad(const std::vector<RunKey>& aQueue,
+                          MonotonicTime aNow) const;
   void Start(Run& aRun, MonotonicTime aNow);
   void CallStart(Run& aRun, MonotonicTime aNow);
   /** Handles a start call without an answer. */
@@ -369,6 +379,13 @@
   void FlushReports();
   /** Expected time until a queued run starts, by the runs ahead of it. */
   Milliseconds EstimateStartDelay(const Run& aQueued, MonotonicTime aNow) const;
+  /** Expected run time here of a task whose estimate is aEstimate. */
+  Milliseconds EstimateRunTime(Milliseconds aEstimate) const;
+  /** The delay of a task of usual size, by priority; see StartPolicy. */
+  std::vector<protocol::PriorityFigures> ForecastByPriority(
+    MonotonicTime aNow) const;
+  /** By priority, then by arrival. */
+  std::vector<RunKey> QueuedRuns() const;
   /** Expected time until a task that is queued last now starts. */
   Milliseconds EstimateStartDelayOfNext(MonotonicTime aNow) const;
   /** Expected time until aCpu, in thousandths of a core, are free. */
@@ -415,6 +432,8 @@
   std::uint64_t statusRevision_ = 1;
   bool isStopping_ = false;
   std::int64_t averageTaskCpu_ = 0;
+  /** When a task of each priority was ordered last. */
+  std::map<std::uint32_t, MonotonicTime> priorityOrderedAt_;
 };
 
 }
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -152,6 +152,7 @@
                        MonotonicTime aNow)
 {
   sessions_[aEntry].ordersSeen = aOrder.sequence;
+  priorityOrderedAt_[aOrder.priority] = aNow;
   averageTaskCpu_ =
     averageTaskCpu_ == 0 ? aOrder.cpu : (averageTaskCpu_ * 7 + aOrder.cpu) / 8;
   bool isFull = queue_.size() + aOrder.tasks.size() > limits_.maxQueue;
@@ -308,38 +309,70 @@
     }
     return;
   }
-  auto free = FreeResources();
+  EndUnstartableRuns(aNow);
+  if (!CanLease(aNow) || !IsRoomKnown(aNow)) {
+    return;
+  }
+  std::vector<RunKey> startable;
+  for (const auto& item : queue_) {
+    const auto& run = runs_.at(std::get<RunKey>(item));
+    if (DoesLeaseEndInTime(run)) {
+      startable.push_back(run.key);
+    }
+  }
   auto taken = CountOccupyingRuns();
   bool isRunnerSuspect = health_.IsSuspect(aNow);
-  bool canStart = CanLease(aNow) && IsRoomKnown(aNow);
   bool hasSuspectRun = HasSuspectRun();
+  auto load = DescribeLoad(startable, aNow);
+  for (auto index : limits_.startPolicy->RunsToStart(load)) {
+    auto& run = runs_.at(startable[index]);
+    bool mustBeApart =
+      (isRunnerSuspect && taken > 0) || (run.isSuspect && hasSuspectRun);
+    // Each start may have extended the runner's lease.
+    if (mustBeApart || !DoesLeaseEndInTime(run)) {
+      continue;
+    }
+    ++taken;
+    hasSuspectRun = hasSuspectRun || run.isSuspect;
+    Start(run, aNow);
+  }
+}
+
+void
+RunSupervisor::EndUnstartableRuns(MonotonicTime aNow)
+{
   auto waiting = queue_;
   for (const auto& item : waiting) {
-    auto& run = runs_.at(std::get<RunKey>(item));
+    const auto& run = runs_.at(std::get<RunKey>(item));
     if (!IsRevalidated(run.entry, aNow)) {
       EndUnstarted(RunKey(run.key), protocol::RunOutcome::NotRevalidated, aNow);
-      continue;
-    }
-    if (run.startBy < aNow) {
+    } else if (run.startBy < aNow) {
       EndUnstarted(RunKey(run.key), protocol::RunOutcome::Expired, aNow);
-      continue;
-    }
-    if (IsBeyondRoom(run, aNow)) {
+    } else if (IsBeyondRoom(run, aNow)) {
       EndUnstarted(RunKey(run.key), protocol::RunOutcome::NoRoom, aNow);
-      continue;
     }
-    bool hasRoom = canStart && DoesLeaseEndInTime(run) && free.Fits(run.demand);
-    bool mustBeApart =
-      (isRunnerSuspect && taken > 0) || (run.isSuspect && hasSuspectRun);
-    bool mustWait = !hasRoom || mustBeApart;
-    if (mustWait) {
-      continue;
+  }
+}
+
+RunnerLoad
+RunSupervisor::DescribeLoad(const std::vector<RunKey>& aQueue,
+                            MonotonicTime aNow) const
+{
+  RunnerLoad load;
+  load.capacity = runner_->report.capacity;
+  load.free = FreeResources();
+  for (const auto& [key, run] : runs_) {
+    if (run.OccupiesResources()) {
+      load.active.push_back(
+        { run.priority, run.demand, EstimateRemaining(run, aNow) });
     }
-    free -= run.demand;
-    ++taken;
-    hasSuspectRun = hasSuspectRun || run.isSuspect;
-    Start(run, aNow);
   }
+  for (const auto& key : aQueue) {
+    const auto& run = runs_.at(key);
+    load.queue.push_back(
+      { run.priority, run.demand, EstimateRunTime(run.estimate) });
+  }
+  return load;
 }
 
 void
--- /dev/null
+++ b/Libraries/LibJob/StartPolicy.h
@@ -0,0 +1,56 @@
+#ifndef Libraries_LibJob_StartPolicy_h
+#define Libraries_LibJob_StartPolicy_h
+
+#include "LibCore/Time.h"
+#include "LibJob/Resources.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace vanillaworks::job {
+
+/** A queued or active run, as far as the order of starts depends on it. */
+struct PlannedRun
+{
+  /** 0 is the highest priority. */
+  std::uint32_t priority = 0;
+  Resources demand;
+  /** Expected run time; of an active run, the rest of it. */
+  Milliseconds time{ 0 };
+};
+
+/** What a runner has and runs, and what waits there. */
+struct RunnerLoad
+{
+  Resources capacity;
+  /** Resources that no active run occupies. */
+  Resources free;
+  std::vector<PlannedRun> active;
+  /** By priority, then by arrival. */
+  std::vector<PlannedRun> queue;
+};
+
+/** Decides in which order the queued runs of a runner start. Thread safe. */
+class StartPolicy
+{
+public:
+  virtual ~StartPolicy() = default;
+
+  /** Indexes of the queued runs that start now, in the order of their start. */
+  virtual std::vector<std::size_t> RunsToStart(
+    const RunnerLoad& aLoad) const = 0;
+  /**
+   * Processors, in thousandths of a core, that have to become free before the
+   * queued run aIndex starts: its own demand and that of the queued runs which
+   * start before it.
+   */
+  virtual std::int64_t CpuNeededBefore(const RunnerLoad& aLoad,
+                                       std::size_t aIndex) const = 0;
+  /** Whether entries are told the expected start delay of each priority. */
+  virtual bool ForecastsByPriority() const = 0;
+};
+
+}
+
+#endif
--- a/Libraries/LibJob/UpstreamView.cpp
+++ b/Libraries/LibJob/UpstreamView.cpp
@@ -34,11 +34,15 @@
 }
 
 void
-UpstreamView::OnOrdered(const Resources& aDemand, Milliseconds aEstimate)
+UpstreamView::OnOrdered(const Resources& aDemand,
+                        Milliseconds aEstimate,
+                        std::uint32_t aPriority)
 {
   ++lastSequence_;
-  unacknowledged_.push_back(
-    { lastSequence_, aDemand, aDemand.cpu * RunTime(aEstimate).count() });
+  unacknowledged_.push_back({ lastSequence_,
+                              aDemand,
+                              aPriority,
+                              aDemand.cpu * RunTime(aEstimate).count() });
 }
 
 void
@@ -67,17 +71,26 @@
 }
 
 Milliseconds
-UpstreamView::EstimateStartDelay(const Resources& aDemand) const
+UpstreamView::EstimateStartDelay(const Resources& aDemand,
+                                 std::uint32_t aPriority) const
 {
   if (FreeResources().Fits(aDemand)) {
     return Milliseconds{ 0 };
   }
+  const auto& priorities = status_.priorities;
+  auto own = std::find_if(
+    priorities.begin(), priorities.end(), [aPriority](const auto& aFigures) {
+      return aFigures.priority == aPriority;
+    });
+  bool isForecast = own != priorities.end();
+  auto startInMs = isForecast ? own->startInMs : status_.startInMs;
   std::int64_t cpuWork = 0;
   for (const auto& order : unacknowledged_) {
-    cpuWork += order.cpuWork;
+    bool goesFirst = !isForecast || order.priority <= aPriority;
+    cpuWork += goesFirst ? order.cpuWork : 0;
   }
   auto backlogMs = cpuWork / std::max<std::int64_t>(status_.cpu, 1);
-  return Milliseconds(std::max<std::int64_t>(status_.startInMs, 1) + backlogMs);
+  return Milliseconds(std::max<std::int64_t>(startInMs, 1) + backlogMs);
 }
 
 Milliseconds
--- a/Services/Agent/JobAgentSettings.cpp
+++ b/Services/Agent/JobAgentSettings.cpp
@@ -1,8 +1,13 @@
 #include "Services/Agent/JobAgentSettings.h"
 
+#include "LibJob/LookaheadPolicy.h"
+
 namespace vanillaworks::agent {
 
 namespace {
+/** The other half of the processors goes by priority alone. */
+constexpr double kGuaranteedShare = 0.5;
+
 std::vector<std::string>
 EntryAddresses(const std::vector<std::string>& aHosts, std::int64_t aPort)
 {
@@ -14,6 +19,21 @@
   }
   return entries;
 }
+
+std::shared_ptr<const job::StartPolicy>
+ReadStartPolicy(SettingsReader& aReader)
+{
+  auto name = aReader.GetString("start_policy", "first_fit");
+  auto share = aReader.GetNumber("guaranteed_share", kGuaranteedShare, 0, 1);
+  if (name == "lookahead") {
+    return std::make_shared<job::LookaheadPolicy>(share);
+  }
+  if (name != "first_fit") {
+    aReader.ReportContradiction("start_policy",
+                                "must be \"first_fit\" or \"lookahead\"");
+  }
+  return std::make_shared<job::FirstFitPolicy>();
+}
 }
 
 Result<JobAgentSettings, std::vector<SettingsIssue>>
@@ -31,6 +51,7 @@
   settings.limits.grantedLease = settings.process.bounds.grantedLease;
   settings.limits.contactLease = settings.process.bounds.contactLease;
   settings.limits.cancelLease = settings.process.bounds.cancelLease;
+  settings.limits.startPolicy = ReadStartPolicy(aReader);
   auto issues = aReader.Finish();
   if (!issues.empty()) {
     return Failure{ std::move(issues) };
--- a/Services/Entry/JobEntrySettings.cpp
+++ b/Services/Entry/JobEntrySettings.cpp
@@ -2,6 +2,11 @@
 
 namespace vanillaworks::entry {
 
+namespace {
+constexpr double kMinRemoteDataFactor = 1;
+constexpr double kMaxRemoteDataFactor = 10;
+}
+
 Result<JobEntrySettings, std::vector<SettingsIssue>>
 JobEntrySettings::Read(SettingsReader aReader)
 {
@@ -17,6 +22,11 @@
     aReader.GetString("advertised_address", settings.linkAddress);
   settings.dispatcherLimits.lostAgentTimeout =
     settings.process.bounds.lostAgentTimeout;
+  settings.dispatcherLimits.remoteDataFactor =
+    aReader.GetNumber("remote_data_factor",
+                      settings.dispatcherLimits.remoteDataFactor,
+                      kMinRemoteDataFactor,
+                      kMaxRemoteDataFactor);
   auto issues = aReader.Finish();
   if (!issues.empty()) {
     return Failure{ std::move(issues) };
--- a/Tests/LibJob/DecisionsTest.cpp
+++ b/Tests/LibJob/DecisionsTest.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 const MonotonicTime kNow{ std::chrono::hours(1) };
+constexpr double kRemoteDataFactor = 1.5;
 
 UpstreamView
 MakeView(const std::string& aName, std::int64_t aFree, std::int64_t aSlowness)
@@ -56,7 +57,7 @@
   ControlView control;
   for (int i = 0; i < 1000; ++i) {
     auto place = aPlacement.Choose(
-      { aJob, Urgency::InTime, {}, {} }, aViews, control, kNow);
+      { aJob, Urgency::InTime, 0, {}, {} }, aViews, control, kNow);
     ++counts[place ? place->upstream.Value() : "none"];
   }
   return counts;
@@ -65,7 +66,7 @@
 
 TEST_CASE("equal workers get equal shares, so that entries don't collide")
 {
-  Placement placement(1);
+  Placement placement(1, kRemoteDataFactor);
   Placement::Views views;
   for (const auto* name : { "a", "b", "c", "d" }) {
     views[UpstreamId(name)] = MakeView(name, 8000, 1000);
@@ -80,7 +81,7 @@
 TEST_CASE(
   "the fast worker gets more tasks at low load, the slow one at high load")
 {
-  Placement placement(1);
+  Placement placement(1, kRemoteDataFactor);
   Placement::Views views;
   views[UpstreamId("fast")] = MakeView("fast", 8000, 600);
   views[UpstreamId("slow")] = MakeView("slow", 8000, 1300);
@@ -96,7 +97,7 @@
 
 TEST_CASE("full workers share waiting tasks, so that entries don't collide")
 {
-  Placement placement(1);
+  Placement placement(1, kRemoteDataFactor);
   Placement::Views views;
   for (const auto* name : { "a", "b", "c", "d", "e", "f" }) {
     auto view = MakeView(name, 0, 1000);
@@ -123,7 +124,7 @@
 
 TEST_CASE("a long task goes only to a worker where it ends in time")
 {
-  Placement placement(1);
+  Placement placement(1, kRemoteDataFactor);
   Placement::Views views;
   views[UpstreamId("fast")] = MakeView("fast", 0, 600);
   views[UpstreamId("slow")] = MakeView("slow", 0, 2500);
@@ -132,16 +133,62 @@
   CHECK(counts["fast"] == 1000);
 }
 
+// A burst of long, less urgent jobs made entries refuse urgent ones, although
+// an agent starts these first.
+TEST_CASE("less urgent tasks at an agent don't delay an urgent one")
+{
+  auto view = MakeView("a", 0, 1000);
+  auto status = view.Status();
+  status.startInMs = 400;
+  Resources demand{ 1000, 64, 0 };
+  SECTION("if the agent tells the delay of each priority")
+  {
+    status.priorities = { { 0, 15 }, { 2, 400 } };
+    view.OnStatus(status, kNow);
+    view.OnOrdered(demand, Milliseconds(800), 2);
+    CHECK(view.EstimateStartDelay(demand, 0) == Milliseconds(15));
+    CHECK(view.EstimateStartDelay(demand, 2) == Milliseconds(500));
+  }
+  SECTION("if it doesn't, all tasks there count")
+  {
+    view.OnStatus(status, kNow);
+    view.OnOrdered(demand, Milliseconds(800), 2);
+    CHECK(view.EstimateStartDelay(demand, 0) == Milliseconds(500));
+  }
+}
+
+// With a factor that was too low, tasks that a remote worker ended three times
+// as late went there all the same.
+TEST_CASE("a task goes far from its data only if it ends in time there")
+{
+  Placement::Views views;
+  views[UpstreamId("remote")] = MakeView("remote", 8000, 1000);
+  auto job = MakeRequest(Milliseconds(100));
+  job.dataRack = "rack-1";
+  auto isPlaced = [&](double aFactor) {
+    Placement placement(1, aFactor);
+    return !CountPlacements(placement, views, job).contains("none");
+  };
+  CHECK(isPlaced(1.5));
+  auto near = views.at(UpstreamId("remote")).Status();
+  near.labels = { "rack-1" };
+  views[UpstreamId("near")].OnLinked(kNow);
+  views[UpstreamId("near")].OnStatus(near, kNow);
+  Placement placement(1, 3);
+  auto counts = CountPlacements(placement, views, job);
+  CHECK(counts["near"] == 1000);
+}
+
 TEST_CASE(
   "a task that can't end in time is refused with a jittered retry delay")
 {
-  Placement placement(1);
+  Placement placement(1, kRemoteDataFactor);
   Placement::Views views;
   views[UpstreamId("a")] = MakeView("a", 0, 1000);
   ControlView control;
   auto job = MakeRequest(Milliseconds(60));
-  CHECK_FALSE(
-    placement.Choose({ job, Urgency::InTime, {}, {} }, views, control, kNow));
+  CHECK_FALSE(placement.Choose(
+    { job, Urgency::InTime, 0, {}, {} }, views, control, kNow));
   CHECK(placement.Reason() == PlacementFailure::TooLate);
   CHECK(placement.RetryAfter() >= Milliseconds(1000));
   CHECK(placement.RetryAfter() != placement.RetryAfter());
@@ -149,14 +196,14 @@
 
 TEST_CASE("unsuitable workers get no tasks")
 {
-  Placement placement(1);
+  Placement placement(1, kRemoteDataFactor);
   Placement::Views views;
   views[UpstreamId("a")] = MakeView("a", 8000, 1000);
   ControlView control;
   auto job = MakeRequest(Milliseconds(60));
   auto choose = [&](MonotonicTime aNow) {
     return placement
-      .Choose({ job, Urgency::InTime, {}, {} }, views, control, aNow)
+      .Choose({ job, Urgency::InTime, 0, {}, {} }, views, control, aNow)
       .has_value();
   };
   CHECK(choose(kNow));
