LibJob: Admit jobs by priority under overload, with guaranteed shares

Cause: a job is admitted if its tasks are expected to end within its goal.

With the setting admission "by_priority" the tasks of a less urgent job may queue only for a part of the time that urgent ones can wait; a priority below its guaranteed share of the admitted work is not held up.

--- a/Libraries/LibJob/FirstFitPolicy.cpp
+++ b/Libraries/LibJob/FirstFitPolicy.cpp
@@ -17,15 +17,4 @@
   return started;
 }
 
-std::int64_t
-FirstFitPolicy::CpuNeededBefore(const RunnerLoad& aLoad,
-                                std::size_t aIndex) const
-{
-  std::int64_t needed = 0;
-  for (std::size_t i = 0; i <= aIndex; ++i) {
-    needed += aLoad.queue[i].demand.cpu;
-  }
-  return needed;
-}
-
 }
--- a/Libraries/LibJob/FirstFitPolicy.h
+++ b/Libraries/LibJob/FirstFitPolicy.h
@@ -14,9 +14,6 @@
 {
 public:
   std::vector<std::size_t> RunsToStart(const RunnerLoad& aLoad) const override;
-  std::int64_t CpuNeededBefore(const RunnerLoad& aLoad,
-                               std::size_t aIndex) const override;
-  bool ForecastsByPriority() const override { return false; }
 };
 
 }
--- a/Libraries/LibJob/Job.h
+++ b/Libraries/LibJob/Job.h
@@ -3,7 +3,6 @@
 
 #include "LibJob/JobAnswer.h"
 #include "LibJob/JobRequest.h"
-#include "LibJob/LatePriority.h"
 #include "LibProtocol/RunTask.h"
 
 #include <map>
@@ -82,11 +81,6 @@
   std::size_t unplacedTasks = 0;
   std::map<UpstreamId, std::uint32_t> tasksPerWorker;
 
-  /** Priority of the job's tasks in the queues of agents. */
-  std::uint32_t Priority() const
-  {
-    return request.route.priority + (isLate ? kLatePriority : 0);
-  }
   bool HasWaitingTasks() const
   {
     return outstanding + doneTasks < tasks.size();
--- a/Libraries/LibJob/JobDispatcher.cpp
+++ b/Libraries/LibJob/JobDispatcher.cpp
@@ -26,6 +26,8 @@
   , control_(aControl)
   , port_(aPort)
   , placement_(aSeed, aLimits.remoteDataFactor)
+  , admission_(
+      AdmissionPolicy::Create(aLimits.admission, aLimits.guaranteedShare))
   , cancelledJobs_(aLimits.maxCancelledJobs)
 {
 }
@@ -62,6 +64,7 @@
                  { state, JobReason::TooLate, placement_.RetryAfter() });
     return;
   }
+  admission_->OnAsked(aRequest, aNow);
   auto id = aRequest.id;
   Job job;
   job.tasks.resize(aRequest.tasks);
--- a/Libraries/LibJob/JobDispatcher.h
+++ b/Libraries/LibJob/JobDispatcher.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
+#include "LibJob/AdmissionPolicy.h"
 #include "LibJob/CancelledJobMemory.h"
 #include "LibJob/ControlView.h"
 #include "LibJob/DrainRate.h"
@@ -18,6 +19,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -44,6 +46,9 @@
   Milliseconds deadlineMargin{ 30 };
   /** How many times as long a task takes on a worker far from its data. */
   double remoteDataFactor = 1.5;
+  AdmissionKind admission = AdmissionKind::ByGoal;
+  /** For AdmissionKind::ByPriority; see PriorityAdmission. */
+  double guaranteedShare = 0.5;
   std::size_t maxJobs = 20'000;
   /** Cancelled jobs that are remembered, so that none of them starts again. */
   std::size_t maxCancelledJobs = 20'000;
@@ -195,6 +200,7 @@
   JobDispatcherPort& port_;
   Placement placement_;
   Placement::Views views_;
+  std::unique_ptr<AdmissionPolicy> admission_;
   Jobs_ jobs_;
   /** Jobs that wait in this process for capacity. */
   std::unordered_set<SubmissionId> waitingJobs_;
--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -68,6 +68,8 @@
 }
 
 namespace {
+/** Queues tasks of late jobs behind all tasks that can still end in time. */
+constexpr std::uint32_t kLatePriority = 1000;
 /**
  * Number of orders that are returned at once for lack of capacity before a task
  * may queue at a worker.
@@ -87,6 +89,10 @@
   std::map<UpstreamId, Milliseconds> startWithin;
   std::vector<TaskPlaced> placed;
   bool isFullyPlaced = true;
+  // A job that has started is not held up: what ran already would be wasted.
+  auto maxStartDelay = aJob.hasStarted || aJob.outstanding != 0
+                         ? std::nullopt
+                         : admission_->MaxStartDelay(aJob.request, aNow);
   for (std::uint32_t i = 0; i < aJob.tasks.size(); ++i) {
     auto& task = aJob.tasks[i];
     bool isDue = task.state == TaskState::Waiting &&
@@ -97,7 +103,7 @@
     auto urgency = aJob.isLate ? Urgency::BeforeDeadline : Urgency::InTime;
     auto place = placement_.Choose({ aJob.request,
                                      urgency,
-                                     aJob.Priority(),
+                                     maxStartDelay,
                                      task.avoidedWorkers,
                                      aJob.tasksPerWorker },
                                    views_,
@@ -123,8 +129,8 @@
     auto& within = startWithin.emplace(place->upstream, allowed).first->second;
     within = std::max(within, allowed);
     // The next task must see the resources of this one as taken.
-    views_[place->upstream].OnOrdered(
-      aJob.request.demand, aJob.request.estimate, aJob.Priority());
+    views_[place->upstream].OnOrdered(aJob.request.demand,
+                                      aJob.request.estimate);
     placed.push_back({ aJob.request.id,
                        i,
                        task.run,
@@ -149,6 +155,9 @@
   for (const auto& event : placed) {
     port_.OnPlaced(event);
   }
+  if (!placed.empty() && aJob.orders == 0) {
+    admission_->OnAdmitted(aJob.request, aNow);
+  }
   SendOrders(aJob, plan, startWithin);
   return isFullyPlaced;
 }
@@ -168,7 +177,7 @@
     order.cpu = request.demand.cpu;
     order.memory = request.demand.memory;
     order.accelerators = request.demand.accelerators;
-    order.priority = aJob.Priority();
+    order.priority = request.route.priority + (aJob.isLate ? kLatePriority : 0);
     order.estimateMs = request.estimate.count();
     order.startWithinMs = aStartWithin.at(upstream).count();
     for (auto index : indices) {
--- a/Libraries/LibJob/Placement.cpp
+++ b/Libraries/LibJob/Placement.cpp
@@ -77,7 +77,7 @@
     if (isRemoteFromData) {
       run = std::chrono::duration_cast<Milliseconds>(run * remoteDataFactor_);
     }
-    auto startIn = view.EstimateStartDelay(job.demand, aRequest.priority);
+    auto startIn = view.EstimateStartDelay(job.demand);
     shortestWait_ = std::min(shortestWait_, startIn);
     Candidate candidate{
       &upstream, &view, startIn, startIn + run, left - startIn - run
@@ -99,8 +99,11 @@
       return (aCandidate.slack + aCandidate.startIn).count() >= 0;
     });
   auto count = candidates.size();
-  std::erase_if(candidates, [](const Candidate& aCandidate) {
-    return aCandidate.slack.count() < 0 && aCandidate.startIn.count() > 0;
+  std::erase_if(candidates, [&aRequest](const Candidate& aCandidate) {
+    bool isLate = aCandidate.slack.count() < 0;
+    bool isTooLong =
+      aRequest.maxStartDelay && aCandidate.startIn > *aRequest.maxStartDelay;
+    return aCandidate.startIn.count() > 0 && (isLate || isTooLong);
   });
   bool isHighlyUtilized = static_cast<double>(cpu - cpuFree) >
                           kHighUtilization * static_cast<double>(cpu);
--- a/Libraries/LibJob/Placement.h
+++ b/Libraries/LibJob/Placement.h
@@ -49,8 +49,8 @@
 {
   const JobRequest& job;
   Urgency urgency;
-  /** Priority at the agent's queue. */
-  std::uint32_t priority;
+  /** The longest time for which the task may queue at a worker, if limited. */
+  std::optional<Milliseconds> maxStartDelay;
   /** Workers on which the task has failed. */
   const std::set<UpstreamId>& avoidedWorkers;
   /** Number of the job's tasks that each worker already has. */
--- /dev/null
+++ b/Libraries/LibJob/PriorityAdmission.h
@@ -0,0 +1,77 @@
+#ifndef Libraries_LibJob_PriorityAdmission_h
+#define Libraries_LibJob_PriorityAdmission_h
+
+#include "LibJob/AdmissionPolicy.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace vanillaworks::job {
+
+/**
+ * Keeps queues at workers shorter than what urgent jobs can wait.
+ *
+ * Answers load above the capacity on routes of different priority. By their
+ * goals alone, jobs with long tasks can wait longest, so that they fill the
+ * queues and urgent jobs with short goals are rejected. Here the tasks of a
+ * less urgent job may queue only for a part of the time that more urgent ones
+ * can wait: half for the next priority, a quarter for the one after. A queue
+ * that grows rejects the least urgent jobs first. A priority that has received
+ * less than its guaranteed share of the admitted work may queue for as long as
+ * its goal allows, so that none is starved. Each entry decides by the jobs that
+ * it receives itself; nothing is exchanged. Not thread safe.
+ */
+class PriorityAdmission final : public AdmissionPolicy
+{
+public:
+  /**
+   * aGuaranteedShare: the part of the admitted work, 0 to 1, that is guaranteed
+   * to the priorities which ask for it, in equal parts.
+   */
+  explicit PriorityAdmission(double aGuaranteedShare)
+    : guaranteedShare_(aGuaranteedShare)
+  {
+  }
+
+  void OnAsked(const JobRequest& aJob, MonotonicTime aNow) override;
+  void OnAdmitted(const JobRequest& aJob, MonotonicTime aNow) override;
+  std::optional<Milliseconds> MaxStartDelay(const JobRequest& aJob,
+                                            MonotonicTime aNow) const override;
+
+private:
+  /** An exponentially decaying sum. */
+  class DecayingSum
+  {
+  public:
+    void Add(double aValue, MonotonicTime aNow);
+    double Value(MonotonicTime aNow) const;
+
+  private:
+    double value_ = 0;
+    MonotonicTime updatedAt_;
+  };
+
+  struct Level
+  {
+    /** Processor time, in core milliseconds. */
+    DecayingSum asked;
+    DecayingSum admitted;
+    /** Mean time for which a job can wait, by its goal. */
+    double waitMs = 0;
+  };
+  /** By priority; 0 is the most urgent. */
+  using Levels = std::map<std::uint32_t, Level>;
+
+  static double Work(const JobRequest& aJob);
+  /** Whether the level asks for a noticeable part of all work. */
+  static bool IsActive(const Level& aLevel, double aAsked, MonotonicTime aNow);
+
+  double guaranteedShare_;
+  /** By service, since only routes of one service compete. */
+  std::map<std::string, Levels> services_;
+};
+
+}
+
+#endif
--- a/Libraries/LibJob/RunSupervisor.h
+++ b/Libraries/LibJob/RunSupervisor.h
@@ -381,11 +381,6 @@
   Milliseconds EstimateStartDelay(const Run& aQueued, MonotonicTime aNow) const;
   /** Expected run time here of a task whose estimate is aEstimate. */
   Milliseconds EstimateRunTime(Milliseconds aEstimate) const;
-  /** The delay of a task of usual size, by priority; see StartPolicy. */
-  std::vector<protocol::PriorityFigures> ForecastByPriority(
-    MonotonicTime aNow) const;
-  /** By priority, then by arrival. */
-  std::vector<RunKey> QueuedRuns() const;
   /** Expected time until a task that is queued last now starts. */
   Milliseconds EstimateStartDelayOfNext(MonotonicTime aNow) const;
   /** Expected time until aCpu, in thousandths of a core, are free. */
@@ -432,8 +427,6 @@
   std::uint64_t statusRevision_ = 1;
   bool isStopping_ = false;
   std::int64_t averageTaskCpu_ = 0;
-  /** When a task of each priority was ordered last. */
-  std::map<std::uint32_t, MonotonicTime> priorityOrderedAt_;
 };
 
 }
--- a/Libraries/LibJob/RunSupervisorEstimates.cpp
+++ b/Libraries/LibJob/RunSupervisorEstimates.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 constexpr std::int64_t kPermille = 1000;
-/** How long entries are told the start delay of a priority after an order. */
-constexpr Milliseconds kPriorityRetention{ 10'000 };
 }
 
 Resources
@@ -54,10 +52,14 @@
 Milliseconds
 RunSupervisor::EstimateStartDelay(const Run& aQueued, MonotonicTime aNow) const
 {
-  auto queue = QueuedRuns();
-  auto own = std::find(queue.begin(), queue.end(), aQueued.key);
-  auto needed = limits_.startPolicy->CpuNeededBefore(
-    DescribeLoad(queue, aNow), static_cast<std::size_t>(own - queue.begin()));
+  auto needed = aQueued.demand.cpu;
+  QueueKey own{ aQueued.priority, aQueued.arrival, aQueued.key };
+  for (const auto& item : queue_) {
+    if (!(item < own)) {
+      break;
+    }
+    needed += runs_.at(std::get<RunKey>(item)).demand.cpu;
+  }
   return EstimateTimeUntilFree(needed, aNow);
 }
 
@@ -71,38 +73,6 @@
   return EstimateTimeUntilFree(needed, aNow);
 }
 
-std::vector<protocol::PriorityFigures>
-RunSupervisor::ForecastByPriority(MonotonicTime aNow) const
-{
-  std::vector<protocol::PriorityFigures> forecast;
-  if (!limits_.startPolicy->ForecastsByPriority()) {
-    return forecast;
-  }
-  auto load = DescribeLoad(QueuedRuns(), aNow);
-  for (const auto& [priority, orderedAt] : priorityOrderedAt_) {
-    if (aNow - orderedAt >= kPriorityRetention) {
-      continue;
-    }
-    load.queue.push_back({ priority, { averageTaskCpu_, 0, 0 }, {} });
-    auto needed =
-      limits_.startPolicy->CpuNeededBefore(load, load.queue.size() - 1);
-    load.queue.pop_back();
-    forecast.push_back(
-      { priority, EstimateTimeUntilFree(needed, aNow).count() });
-  }
-  return forecast;
-}
-
-std::vector<RunKey>
-RunSupervisor::QueuedRuns() const
-{
-  std::vector<RunKey> queued;
-  for (const auto& item : queue_) {
-    queued.push_back(std::get<RunKey>(item));
-  }
-  return queued;
-}
-
 Milliseconds
 RunSupervisor::EstimateTimeUntilFree(std::int64_t aCpu,
                                      MonotonicTime aNow) const
@@ -163,7 +133,6 @@
   status.memoryFree = free.memory;
   status.acceleratorsFree = free.accelerators;
   status.startInMs = EstimateStartDelayOfNext(aNow).count();
-  status.priorities = ForecastByPriority(aNow);
   status.slownessPermille = health_.SlownessPermille();
   status.accepting = MayStart() && IsRoomKnown(aNow);
   status.suspect = health_.IsSuspect(aNow);
--- a/Libraries/LibJob/RunSupervisorQueue.cpp
+++ b/Libraries/LibJob/RunSupervisorQueue.cpp
@@ -152,7 +152,6 @@
                        MonotonicTime aNow)
 {
   sessions_[aEntry].ordersSeen = aOrder.sequence;
-  priorityOrderedAt_[aOrder.priority] = aNow;
   averageTaskCpu_ =
     averageTaskCpu_ == 0 ? aOrder.cpu : (averageTaskCpu_ * 7 + aOrder.cpu) / 8;
   bool isFull = queue_.size() + aOrder.tasks.size() > limits_.maxQueue;
--- a/Libraries/LibJob/StartPolicy.h
+++ b/Libraries/LibJob/StartPolicy.h
@@ -40,15 +40,6 @@
   /** Indexes of the queued runs that start now, in the order of their start. */
   virtual std::vector<std::size_t> RunsToStart(
     const RunnerLoad& aLoad) const = 0;
-  /**
-   * Processors, in thousandths of a core, that have to become free before the
-   * queued run aIndex starts: its own demand and that of the queued runs which
-   * start before it.
-   */
-  virtual std::int64_t CpuNeededBefore(const RunnerLoad& aLoad,
-                                       std::size_t aIndex) const = 0;
-  /** Whether entries are told the expected start delay of each priority. */
-  virtual bool ForecastsByPriority() const = 0;
 };
 
 }
--- a/Libraries/LibJob/UpstreamView.cpp
+++ b/Libraries/LibJob/UpstreamView.cpp
@@ -34,15 +34,11 @@
 }
 
 void
-UpstreamView::OnOrdered(const Resources& aDemand,
-                        Milliseconds aEstimate,
-                        std::uint32_t aPriority)
+UpstreamView::OnOrdered(const Resources& aDemand, Milliseconds aEstimate)
 {
   ++lastSequence_;
-  unacknowledged_.push_back({ lastSequence_,
-                              aDemand,
-                              aPriority,
-                              aDemand.cpu * RunTime(aEstimate).count() });
+  unacknowledged_.push_back(
+    { lastSequence_, aDemand, aDemand.cpu * RunTime(aEstimate).count() });
 }
 
 void
@@ -71,26 +67,17 @@
 }
 
 Milliseconds
-UpstreamView::EstimateStartDelay(const Resources& aDemand,
-                                 std::uint32_t aPriority) const
+UpstreamView::EstimateStartDelay(const Resources& aDemand) const
 {
   if (FreeResources().Fits(aDemand)) {
     return Milliseconds{ 0 };
   }
-  const auto& priorities = status_.priorities;
-  auto own = std::find_if(
-    priorities.begin(), priorities.end(), [aPriority](const auto& aFigures) {
-      return aFigures.priority == aPriority;
-    });
-  bool isForecast = own != priorities.end();
-  auto startInMs = isForecast ? own->startInMs : status_.startInMs;
   std::int64_t cpuWork = 0;
   for (const auto& order : unacknowledged_) {
-    bool goesFirst = !isForecast || order.priority <= aPriority;
-    cpuWork += goesFirst ? order.cpuWork : 0;
+    cpuWork += order.cpuWork;
   }
   auto backlogMs = cpuWork / std::max<std::int64_t>(status_.cpu, 1);
-  return Milliseconds(std::max<std::int64_t>(startInMs, 1) + backlogMs);
+  return Milliseconds(std::max<std::int64_t>(status_.startInMs, 1) + backlogMs);
 }
 
 Milliseconds
--- a/Libraries/LibJob/UpstreamView.h
+++ b/Libraries/LibJob/UpstreamView.h
@@ -26,9 +26,7 @@
   void OnHeard(MonotonicTime aNow) { heardAt_ = aNow; }
 
   /** Records a task that is sent to the agent. */
-  void OnOrdered(const Resources& aDemand,
-                 Milliseconds aEstimate,
-                 std::uint32_t aPriority);
+  void OnOrdered(const Resources& aDemand, Milliseconds aEstimate);
   /**
    * Reverts the latest aTasks calls of OnOrdered() for tasks that were not
    * sent.
@@ -44,12 +42,8 @@
   const protocol::UpstreamStatus& Status() const { return status_; }
 
   Resources FreeResources() const;
-  /**
-   * Expected time until a task that needs aDemand could start. If the agent
-   * tells the delays of priorities, less urgent tasks don't delay it.
-   */
-  Milliseconds EstimateStartDelay(const Resources& aDemand,
-                                  std::uint32_t aPriority) const;
+  /** Expected time until a task that needs aDemand could start. */
+  Milliseconds EstimateStartDelay(const Resources& aDemand) const;
   /** Expected run time here of a task whose estimate is aEstimate. */
   Milliseconds RunTime(Milliseconds aEstimate) const;
   bool CanEverFit(const Resources& aDemand) const;
@@ -65,7 +59,6 @@
   {
     std::uint64_t sequence;
     Resources demand;
-    std::uint32_t priority;
     /** Expected processor time, in thousandths of a core times ms. */
     std::int64_t cpuWork;
   };
--- a/Libraries/LibProtocol/UpstreamFigures.h
+++ b/Libraries/LibProtocol/UpstreamFigures.h
@@ -1,11 +1,8 @@
 #ifndef Libraries_LibProtocol_UpstreamFigures_h
 #define Libraries_LibProtocol_UpstreamFigures_h
 
-#include "LibProtocol/PriorityFigures.h"
-
 #include <cstdint>
 #include <msgpack.hpp>
-#include <vector>
 
 namespace vanillaworks::protocol {
 
@@ -32,11 +29,6 @@
   bool suspect = false;
   /** RunOrder::sequence of the last order that these figures include. */
   std::uint64_t ordersSeen = 0;
-  /**
-   * Estimates for each priority that was ordered lately; empty if the agent
-   * makes none. Agents of earlier releases don't send them.
-   */
-  std::vector<PriorityFigures> priorities;
 
   MSGPACK_DEFINE_ARRAY(cpuFree,
                        memoryFree,
@@ -45,8 +37,7 @@
                        slownessPermille,
                        accepting,
                        suspect,
-                       ordersSeen,
-                       priorities)
+                       ordersSeen)
 };
 
 }
--- a/Services/Agent/JobAgentSettings.cpp
+++ b/Services/Agent/JobAgentSettings.cpp
@@ -5,9 +5,6 @@
 namespace vanillaworks::agent {
 
 namespace {
-/** The other half of the processors goes by priority alone. */
-constexpr double kGuaranteedShare = 0.5;
-
 std::vector<std::string>
 EntryAddresses(const std::vector<std::string>& aHosts, std::int64_t aPort)
 {
@@ -24,9 +21,8 @@
 ReadStartPolicy(SettingsReader& aReader)
 {
   auto name = aReader.GetString("start_policy", "first_fit");
-  auto share = aReader.GetNumber("guaranteed_share", kGuaranteedShare, 0, 1);
   if (name == "lookahead") {
-    return std::make_shared<job::LookaheadPolicy>(share);
+    return std::make_shared<job::LookaheadPolicy>();
   }
   if (name != "first_fit") {
     aReader.ReportContradiction("start_policy",
--- a/Services/Entry/JobEntrySettings.cpp
+++ b/Services/Entry/JobEntrySettings.cpp
@@ -27,6 +27,16 @@
                       settings.dispatcherLimits.remoteDataFactor,
                       kMinRemoteDataFactor,
                       kMaxRemoteDataFactor);
+  settings.dispatcherLimits.guaranteedShare = aReader.GetNumber(
+    "guaranteed_share", settings.dispatcherLimits.guaranteedShare, 0, 1);
+  auto admission = aReader.GetString("admission", "by_goal");
+  if (admission != "by_goal" && admission != "by_priority") {
+    aReader.ReportContradiction("admission",
+                                "must be \"by_goal\" or \"by_priority\"");
+  }
+  settings.dispatcherLimits.admission = admission == "by_priority"
+                                          ? job::AdmissionKind::ByPriority
+                                          : job::AdmissionKind::ByGoal;
   auto issues = aReader.Finish();
   if (!issues.empty()) {
     return Failure{ std::move(issues) };
--- a/Tests/LibJob/DecisionsTest.cpp
+++ b/Tests/LibJob/DecisionsTest.cpp
@@ -57,7 +57,7 @@
   ControlView control;
   for (int i = 0; i < 1000; ++i) {
     auto place = aPlacement.Choose(
-      { aJob, Urgency::InTime, 0, {}, {} }, aViews, control, kNow);
+      { aJob, Urgency::InTime, {}, {}, {} }, aViews, control, kNow);
     ++counts[place ? place->upstream.Value() : "none"];
   }
   return counts;
@@ -133,30 +133,6 @@
   CHECK(counts["fast"] == 1000);
 }
 
-// A burst of long, less urgent jobs made entries refuse urgent ones, although
-// an agent starts these first.
-TEST_CASE("less urgent tasks at an agent don't delay an urgent one")
-{
-  auto view = MakeView("a", 0, 1000);
-  auto status = view.Status();
-  status.startInMs = 400;
-  Resources demand{ 1000, 64, 0 };
-  SECTION("if the agent tells the delay of each priority")
-  {
-    status.priorities = { { 0, 15 }, { 2, 400 } };
-    view.OnStatus(status, kNow);
-    view.OnOrdered(demand, Milliseconds(800), 2);
-    CHECK(view.EstimateStartDelay(demand, 0) == Milliseconds(15));
-    CHECK(view.EstimateStartDelay(demand, 2) == Milliseconds(500));
-  }
-  SECTION("if it doesn't, all tasks there count")
-  {
-    view.OnStatus(status, kNow);
-    view.OnOrdered(demand, Milliseconds(800), 2);
-    CHECK(view.EstimateStartDelay(demand, 0) == Milliseconds(500));
-  }
-}
-
 // With a factor that was too low, tasks that a remote worker ended three times
 // as late went there all the same.
 TEST_CASE("a task goes far from its data only if it ends in time there")
@@ -179,6 +155,24 @@
   CHECK(counts["near"] == 1000);
 }
 
+TEST_CASE("a task queues nowhere for longer than its admission allows")
+{
+  Placement placement(1, kRemoteDataFactor);
+  Placement::Views views;
+  views[UpstreamId("a")] = MakeView("a", 0, 1000);
+  ControlView control;
+  auto job = MakeRequest(Milliseconds(900));
+  auto isPlaced = [&](Milliseconds aMaxStartDelay) {
+    return placement
+      .Choose(
+        { job, Urgency::InTime, aMaxStartDelay, {}, {} }, views, control, kNow)
+      .has_value();
+  };
+  CHECK(isPlaced(Milliseconds(400)));
+  CHECK_FALSE(isPlaced(Milliseconds(399)));
+  CHECK(placement.Reason() == PlacementFailure::TooLate);
+}
+
 TEST_CASE(
   "a task that can't end in time is refused with a jittered retry delay")
 {
@@ -188,7 +182,7 @@
   ControlView control;
   auto job = MakeRequest(Milliseconds(60));
   CHECK_FALSE(placement.Choose(
-    { job, Urgency::InTime, 0, {}, {} }, views, control, kNow));
+    { job, Urgency::InTime, {}, {}, {} }, views, control, kNow));
   CHECK(placement.Reason() == PlacementFailure::TooLate);
   CHECK(placement.RetryAfter() >= Milliseconds(1000));
   CHECK(placement.RetryAfter() != placement.RetryAfter());
@@ -203,7 +197,7 @@
   auto job = MakeRequest(Milliseconds(60));
   auto choose = [&](MonotonicTime aNow) {
     return placement
-      .Choose({ job, Urgency::InTime, 0, {}, {} }, views, control, aNow)
+      .Choose({ job, Urgency::InTime, {}, {}, {} }, views, control, aNow)
       .has_value();
   };
   CHECK(choose(kNow));
--- a/Tests/LibJob/LookaheadPolicyTest.cpp
+++ b/Tests/LibJob/LookaheadPolicyTest.cpp
@@ -1,10 +1,8 @@
 #include "LibJob/LookaheadPolicy.h"
 #include "LibJob/FirstFitPolicy.h"
-#include "LibJob/LatePriority.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
 #include <rapidcheck.h>
 #include <set>
 
@@ -14,7 +12,6 @@
 namespace {
 constexpr std::int64_t kCore = 1000;
 constexpr std::int64_t kMemory = 100'000;
-constexpr double kGuaranteedShare = 0.5;
 
 PlannedRun
 MakeRun(std::uint32_t aPriority, std::int64_t aCores, std::int64_t aMs)
@@ -62,11 +59,9 @@
         continue;
       }
       active.push_back(run);
-      startedCores[run.priority] += run.demand.cpu / kCore;
       largestStarted = std::max(largestStarted, run.demand.cpu / kCore);
     }
     for (auto& run : active) {
-      occupied[run.priority] += run.demand.cpu;
       run.time -= kStep;
     }
     std::erase_if(
@@ -76,9 +71,6 @@
   const StartPolicy& policy;
   std::vector<PlannedRun> active;
   std::vector<PlannedRun> queue;
-  std::map<std::uint32_t, std::int64_t> startedCores;
-  /** Sum over all steps, in thousandths of a core. */
-  std::map<std::uint32_t, std::int64_t> occupied;
   std::int64_t largestStarted = 0;
 };
 
@@ -104,13 +96,13 @@
 // deadline.
 TEST_CASE("a large task starts although small ones arrive all the time")
 {
-  CHECK(StartsLargeTaskAmongSmallOnes(LookaheadPolicy(kGuaranteedShare)));
+  CHECK(StartsLargeTaskAmongSmallOnes(LookaheadPolicy()));
   CHECK_FALSE(StartsLargeTaskAmongSmallOnes(FirstFitPolicy()));
 }
 
 TEST_CASE("a small task fills the gap before a large one if it ends in time")
 {
-  LookaheadPolicy policy(kGuaranteedShare);
+  LookaheadPolicy policy;
   Runner runner(policy);
   runner.active = { MakeRun(0, 6, 100) };
   runner.queue = { MakeRun(0, 4, 100), MakeRun(0, 1, 100), MakeRun(0, 1, 120) };
@@ -132,66 +124,6 @@
   }
 }
 
-// Load far above the capacity on three routes of different priority.
-TEST_CASE("under overload the most urgent tasks go first and none are starved")
-{
-  LookaheadPolicy policy(kGuaranteedShare);
-  Runner runner(policy);
-  constexpr int kSteps = 500;
-  for (int step = 0; step < kSteps; ++step) {
-    for (int i = 0; i < 2; ++i) {
-      runner.queue.push_back(MakeRun(0, 1, 60));
-      runner.queue.push_back(MakeRun(1, 1, 200));
-      runner.queue.push_back(MakeRun(2, 1, 900));
-    }
-    runner.Step();
-  }
-  auto total = kSteps * 8 * kCore;
-  auto shareOf = [&](std::uint32_t aPriority) {
-    return static_cast<double>(runner.occupied[aPriority]) / total;
-  };
-  // A sixth of 8 cores is 1.3, of which a task of one core occupies one.
-  constexpr double kOneCore = 1.0 / 8;
-  CHECK(shareOf(0) > 0.6);
-  CHECK(shareOf(1) >= 0.9 * kOneCore);
-  CHECK(shareOf(2) >= 0.9 * kOneCore);
-}
-
-// Tasks of late jobs took their guarantee from jobs that could end in time.
-TEST_CASE("late tasks start only after all others")
-{
-  LookaheadPolicy policy(kGuaranteedShare);
-  Runner runner(policy);
-  runner.active = { MakeRun(0, 7, 100) };
-  runner.queue = { MakeRun(kLatePriority, 1, 50), MakeRun(1, 1, 50) };
-  CHECK(policy.RunsToStart(runner.Load()) == std::vector<std::size_t>{ 0 });
-  CHECK(runner.Load().queue[0].priority == 1);
-}
-
-TEST_CASE("an urgent task doesn't wait for less urgent ones in the queue")
-{
-  LookaheadPolicy policy(0);
-  Runner runner(policy);
-  runner.active = { MakeRun(1, 8, 100) };
-  runner.queue = { MakeRun(0, 2, 60), MakeRun(2, 3, 900), MakeRun(1, 1, 60) };
-  auto load = runner.Load();
-  CHECK(policy.CpuNeededBefore(load, 0) == 2 * kCore);
-  CHECK(policy.CpuNeededBefore(load, 1) == 3 * kCore);
-  CHECK(policy.CpuNeededBefore(load, 2) == 6 * kCore);
-}
-
-TEST_CASE("a priority below its guarantee doesn't wait for more urgent ones")
-{
-  LookaheadPolicy policy(1);
-  Runner runner(policy);
-  // Of 8 cores, each of the two priorities is guaranteed 4.
-  runner.active = { MakeRun(0, 8, 100) };
-  runner.queue = { MakeRun(0, 5, 60), MakeRun(1, 2, 900) };
-  auto load = runner.Load();
-  CHECK(policy.CpuNeededBefore(load, 1) == 2 * kCore);
-  CHECK(policy.CpuNeededBefore(load, 0) == 7 * kCore);
-}
-
 TEST_CASE("no plan starts more than fits, and none idles with a fitting queue")
 {
   CHECK(rc::check([]() {
@@ -200,7 +132,7 @@
                      *rc::gen::inRange<std::int64_t>(1, 9),
                      *rc::gen::inRange<std::int64_t>(1, 900));
     };
-    LookaheadPolicy policy(*rc::gen::inRange(0, 11) / 10.0);
+    LookaheadPolicy policy;
     Runner runner(policy);
     auto queued = *rc::gen::inRange(0, 20);
     for (int i = 0; i < queued; ++i) {
