--- a/Libraries/LibJob/PriorityAdmission.cpp
+++ b/Libraries/LibJob/PriorityAdmission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace vanillaworks::job {
 
@@ -80,24 +81,25 @@
   }
   double active = 0;
   double received = 0;
-  std::optional<double> limit;
+  auto limit = std::numeric_limits<double>::max();
   for (const auto& [priority, level] : service->second) {
     bool isOwn = priority == aJob.route.priority;
-    if (isOwn) {
-      received = level.admitted.Value(aNow);
-    }
     if (!isOwn && !IsActive(level, asked, aNow)) {
       continue;
     }
     ++active;
-    if (priority < aJob.route.priority) {
-      limit = std::min(limit.value_or(level.waitMs), level.waitMs) / 2;
+    received = isOwn ? level.admitted.Value(aNow) : received;
+    if (priority <= aJob.route.priority) {
+      limit = std::min(limit, level.waitMs) / 2;
     }
   }
-  if (!limit || received < guaranteedShare_ * admitted / active) {
+  bool isAlone = active < 2;
+  bool isBelowGuarantee =
+    received < guaranteedShare_ * admitted / std::max(active, 1.0);
+  if (isAlone || isBelowGuarantee) {
     return {};
   }
-  return Milliseconds(static_cast<std::int64_t>(*limit));
+  return Milliseconds(static_cast<std::int64_t>(limit));
 }
 
 }
--- a/Libraries/LibJob/PriorityAdmission.h
+++ b/Libraries/LibJob/PriorityAdmission.h
@@ -14,13 +14,14 @@
  *
  * Answers load above the capacity on routes of different priority. By their
  * goals alone, jobs with long tasks can wait longest, so that they fill the
- * queues and urgent jobs with short goals are rejected. Here the tasks of a
- * less urgent job may queue only for a part of the time that more urgent ones
- * can wait: half for the next priority, a quarter for the one after. A queue
- * that grows rejects the least urgent jobs first. A priority that has received
- * less than its guaranteed share of the admitted work may queue for as long as
- * its goal allows, so that none is starved. Each entry decides by the jobs that
- * it receives itself; nothing is exchanged. Not thread safe.
+ * queues and urgent jobs with short goals are rejected. Here the tasks of the
+ * most urgent jobs may queue for half of the time that these can wait, since
+ * several entries fill a queue that each sees with a delay; those of the next
+ * priority for a quarter, and so on. A queue that grows rejects the least
+ * urgent jobs first. A priority that has received less than its guaranteed
+ * share of the admitted work may queue for as long as its goal allows, so that
+ * none is starved. Each entry decides by the jobs that it receives itself;
+ * nothing is exchanged. Not thread safe.
  */
 class PriorityAdmission final : public AdmissionPolicy
 {
