--- a/Libraries/LibJob/JobDispatcherPlacing.cpp
+++ b/Libraries/LibJob/JobDispatcherPlacing.cpp
@@ -89,6 +89,10 @@
   std::map<UpstreamId, Milliseconds> startWithin;
   std::vector<TaskPlaced> placed;
   bool isFullyPlaced = true;
+  // A job that has started is not held up: what ran already would be wasted.
+  auto maxStartDelay = aJob.hasStarted || aJob.outstanding != 0
+                         ? std::nullopt
+                         : admission_->MaxStartDelay(aJob.request, aNow);
   for (std::uint32_t i = 0; i < aJob.tasks.size(); ++i) {
     auto& task = aJob.tasks[i];
     bool isDue = task.state == TaskState::Waiting &&
@@ -97,11 +101,14 @@
       continue;
     }
     auto urgency = aJob.isLate ? Urgency::BeforeDeadline : Urgency::InTime;
-    auto place = placement_.Choose(
-      { aJob.request, urgency, task.avoidedWorkers, aJob.tasksPerWorker },
-      views_,
-      control_,
-      aNow);
+    auto place = placement_.Choose({ aJob.request,
+                                     urgency,
+                                     maxStartDelay,
+                                     task.avoidedWorkers,
+                                     aJob.tasksPerWorker },
+                                   views_,
+                                   control_,
+                                   aNow);
     if (!place) {
       isFullyPlaced = false;
       break;
@@ -148,6 +155,9 @@
   for (const auto& event : placed) {
     port_.OnPlaced(event);
   }
+  if (!placed.empty() && aJob.orders == 0) {
+    admission_->OnAdmitted(aJob.request, aNow);
+  }
   SendOrders(aJob, plan, startWithin);
   return isFullyPlaced;
 }
--- a/Libraries/LibJob/Placement.cpp
+++ b/Libraries/LibJob/Placement.cpp
@@ -20,11 +20,6 @@
 constexpr double kHighUtilization = 0.6;
 constexpr Milliseconds kMinRetryAfter{ 1000 };
 constexpr std::int64_t kRetryAfterJitterMs = 1000;
-/**
- * Approximate upper bound on how much longer a task takes on a worker far from
- * its data.
- */
-constexpr double kRemoteDataFactor = 1.5;
 }
 
 bool
@@ -80,7 +75,7 @@
       std::find(status.labels.begin(), status.labels.end(), job.dataRack) ==
         status.labels.end();
     if (isRemoteFromData) {
-      run = std::chrono::duration_cast<Milliseconds>(run * kRemoteDataFactor);
+      run = std::chrono::duration_cast<Milliseconds>(run * remoteDataFactor_);
     }
     auto startIn = view.EstimateStartDelay(job.demand);
     shortestWait_ = std::min(shortestWait_, startIn);
@@ -104,8 +99,11 @@
       return (aCandidate.slack + aCandidate.startIn).count() >= 0;
     });
   auto count = candidates.size();
-  std::erase_if(candidates, [](const Candidate& aCandidate) {
-    return aCandidate.slack.count() < 0 && aCandidate.startIn.count() > 0;
+  std::erase_if(candidates, [&aRequest](const Candidate& aCandidate) {
+    bool isLate = aCandidate.slack.count() < 0;
+    bool isTooLong =
+      aRequest.maxStartDelay && aCandidate.startIn > *aRequest.maxStartDelay;
+    return aCandidate.startIn.count() > 0 && (isLate || isTooLong);
   });
   bool isHighlyUtilized = static_cast<double>(cpu - cpuFree) >
                           kHighUtilization * static_cast<double>(cpu);
--- a/Libraries/LibJob/RunSupervisorEstimates.cpp
+++ b/Libraries/LibJob/RunSupervisorEstimates.cpp
@@ -4,6 +4,10 @@
 
 namespace vanillaworks::job {
 
+namespace {
+constexpr std::int64_t kPermille = 1000;
+}
+
 Resources
 RunSupervisor::FreeResources() const
 {
@@ -22,7 +26,6 @@
 Milliseconds
 RunSupervisor::EstimateRemaining(const Run& aRun, MonotonicTime aNow) const
 {
-  constexpr std::int64_t kPermille = 1000;
   constexpr Milliseconds kMinRemaining{ 5 };
   auto elapsed = std::chrono::duration_cast<Milliseconds>(aNow - aRun.calledAt);
   if (aRun.percent >= kMinReliablePercent) {
@@ -31,7 +34,7 @@
     auto total = elapsedAtProgress * kFullPercent / aRun.percent;
     return std::max(total - elapsed, kMinRemaining);
   }
-  auto total = aRun.estimate * health_.SlownessPermille() / kPermille;
+  auto total = EstimateRunTime(aRun.estimate);
   if (total > elapsed) {
     return std::max(total - elapsed, kMinRemaining);
   }
@@ -40,6 +43,12 @@
   return std::max(elapsed / 4, kMinRemaining);
 }
 
+Milliseconds
+RunSupervisor::EstimateRunTime(Milliseconds aEstimate) const
+{
+  return aEstimate * health_.SlownessPermille() / kPermille;
+}
+
 Milliseconds
 RunSupervisor::EstimateStartDelay(const Run& aQueued, MonotonicTime aNow) const
 {
