--- a/Tests/System/Deployment.cpp
+++ b/Tests/System/Deployment.cpp
@@ -197,7 +197,19 @@
 std::string
 Deployment::EntryUrl(std::size_t aEntry) const
 {
-  return "http://" + kLoopbackHostPrefix + std::to_string(httpPorts_[aEntry]);
+  return "http://" + HttpAddress(aEntry);
+}
+
+std::string
+Deployment::HttpAddress(std::size_t aEntry) const
+{
+  return kLoopbackHostPrefix + std::to_string(httpPorts_[aEntry]);
+}
+
+std::string
+Deployment::LinkAddress(std::size_t aEntry) const
+{
+  return kLoopbackHostPrefix + std::to_string(linkPorts_[aEntry]);
 }
 
 std::string
@@ -318,8 +330,13 @@
 std::string
 Deployment::AgentStatusUrl(std::size_t aUpstream) const
 {
-  return "http://" + kLoopbackHostPrefix +
-         std::to_string(agentStatusPorts_[aUpstream]);
+  return "http://" + AgentStatusAddress(aUpstream);
+}
+
+std::string
+Deployment::AgentStatusAddress(std::size_t aUpstream) const
+{
+  return kLoopbackHostPrefix + std::to_string(agentStatusPorts_[aUpstream]);
 }
 
 std::map<std::string, double>
--- a/Tests/System/Deployment.h
+++ b/Tests/System/Deployment.h
@@ -65,6 +65,10 @@
   bool WaitUntilReady(int aSeconds = 20);
 
   std::string EntryUrl(std::size_t aEntry) const;
+  /** Listening addresses, "host:port". */
+  std::string HttpAddress(std::size_t aEntry) const;
+  std::string LinkAddress(std::size_t aEntry) const;
+  std::string AgentStatusAddress(std::size_t aUpstream) const;
   Process& Entry(std::size_t aEntry) { return *entries_[aEntry]; }
   Process& Agent(std::size_t aUpstream) { return *agents_[aUpstream]; }
   Process& Upstream(std::size_t aUpstream) { return *upstreams_[aUpstream]; }
--- a/Tests/System/PlatformDeployment.cpp
+++ b/Tests/System/PlatformDeployment.cpp
@@ -367,16 +367,52 @@
     "/tally/" + aId));
 }
 
+std::string
+PlatformDeployment::FrontAddress(std::size_t aEntry) const
+{
+  return Address(kFirstEntryHostNumber + aEntry, kFrontPort);
+}
+
+std::string
+PlatformDeployment::ReadinessAddress(std::size_t aEntry) const
+{
+  return Address(kFirstEntryHostNumber + aEntry, kReadinessPort);
+}
+
+std::string
+PlatformDeployment::EntryMetricsAddress(std::size_t aEntry) const
+{
+  return Address(kFirstEntryHostNumber + aEntry, kMetricsPort);
+}
+
+std::string
+PlatformDeployment::LinkAddress(std::size_t aEntry) const
+{
+  return Address(kFirstEntryHostNumber + aEntry, kLinkPort);
+}
+
+std::string
+PlatformDeployment::ControlAddress(std::size_t aAgent) const
+{
+  return Address(kFirstWorkerHostNumber + aAgent, kControlPort);
+}
+
+std::string
+PlatformDeployment::AgentMetricsAddress(std::size_t aAgent) const
+{
+  return Address(kFirstWorkerHostNumber + aAgent, kMetricsPort);
+}
+
 std::string
 PlatformDeployment::EntryMetrics(std::size_t aEntry) const
 {
-  return FetchMetrics(Address(kFirstEntryHostNumber + aEntry, kMetricsPort));
+  return FetchMetrics(EntryMetricsAddress(aEntry));
 }
 
 std::string
 PlatformDeployment::AgentMetrics(std::size_t aAgent) const
 {
-  return FetchMetrics(Address(kFirstWorkerHostNumber + aAgent, kMetricsPort));
+  return FetchMetrics(AgentMetricsAddress(aAgent));
 }
 
 bool
--- a/Tests/System/PlatformDeployment.h
+++ b/Tests/System/PlatformDeployment.h
@@ -77,6 +77,14 @@
    * workers. Returns false if that takes longer than aSeconds.
    */
   bool WaitUntilReady(int aSeconds = 15);
+  /** Listening addresses, "host:port". */
+  std::string FrontAddress(std::size_t aEntry) const;
+  std::string ReadinessAddress(std::size_t aEntry) const;
+  std::string EntryMetricsAddress(std::size_t aEntry) const;
+  std::string LinkAddress(std::size_t aEntry) const;
+  std::string ControlAddress(std::size_t aAgent) const;
+  std::string AgentMetricsAddress(std::size_t aAgent) const;
+
   /** Returns the body of /metrics; empty if the request failed. */
   std::string EntryMetrics(std::size_t aEntry) const;
   std::string AgentMetrics(std::size_t aAgent) const;
