LibJob: Limit queues by priority only while much work is rejected

At a load that nearly fits, half of the queue is rejected early and workers wait for the next job. The limits now hold only while less than nine tenths of the work asked for is admitted.

--- a/Libraries/LibJob/PriorityAdmission.cpp
+++ b/Libraries/LibJob/PriorityAdmission.cpp
@@ -9,6 +9,8 @@
 /** Covers several tasks of every route, and follows a burst within a second. */
 constexpr double kDecayTimeMs = 1000;
 constexpr double kWaitGain = 1.0 / 16;
+/** Below this share of the work asked for, the entry counts as overloaded. */
+constexpr double kMinAdmittedShare = 0.9;
 /** A priority that didn't ask for this time competes with nobody. */
 constexpr Milliseconds kActiveTime{ 1000 };
 constexpr double kMilliCoresInCore = 1000;
@@ -48,6 +50,7 @@
 {
   auto& level = services_[aJob.route.service][aJob.route.priority];
   level.askedAt = aNow;
+  level.asked.Add(Work(aJob), aNow);
   auto wait = std::chrono::duration<double, std::milli>(
                 aJob.Goal() - aJob.arrival - aJob.estimate)
                 .count();
@@ -63,14 +66,30 @@
 }
 
 double
-PriorityAdmission::GuaranteedWork(const Levels& aLevels,
-                                  MonotonicTime aNow) const
+PriorityAdmission::Admitted(const Levels& aLevels, MonotonicTime aNow)
 {
   double admitted = 0;
   for (const auto& [priority, level] : aLevels) {
     admitted += level.admitted.Value(aNow);
   }
-  return guaranteedShare_ * admitted /
+  return admitted;
+}
+
+bool
+PriorityAdmission::IsOverloaded(const Levels& aLevels, MonotonicTime aNow)
+{
+  double asked = 0;
+  for (const auto& [priority, level] : aLevels) {
+    asked += level.asked.Value(aNow);
+  }
+  return Admitted(aLevels, aNow) < kMinAdmittedShare * asked;
+}
+
+double
+PriorityAdmission::GuaranteedWork(const Levels& aLevels,
+                                  MonotonicTime aNow) const
+{
+  return guaranteedShare_ * Admitted(aLevels, aNow) /
          static_cast<double>(CountActive(aLevels, aNow));
 }
 
@@ -108,7 +127,8 @@
   }
   const auto& levels = service->second;
   auto own = levels.find(aJob.route.priority);
-  if (own == levels.end() || CountActive(levels, aNow) < 2) {
+  bool isAlone = own == levels.end() || CountActive(levels, aNow) < 2;
+  if (isAlone || !IsOverloaded(levels, aNow)) {
     return {};
   }
   bool isBelowGuarantee =
--- a/Libraries/LibJob/PriorityAdmission.h
+++ b/Libraries/LibJob/PriorityAdmission.h
@@ -18,10 +18,11 @@
  * most urgent jobs may queue for half of the time that these can wait, since
  * several entries fill a queue that each sees with a delay; those of the next
  * priority for a quarter, and so on. A queue that grows rejects the least
- * urgent jobs first. A priority that has received less than its guaranteed
- * share of the admitted work may queue for as long as its goal allows, so that
- * none is starved. Each entry decides by the jobs that it receives itself;
- * nothing is exchanged. Not thread safe.
+ * urgent jobs first. Nothing is limited while nearly all work is admitted,
+ * since a shorter queue then only leaves workers idle. A priority that has
+ * received less than its guaranteed share of the admitted work may queue for as
+ * long as its goal allows, so that none is starved. Each entry decides by the
+ * jobs that it receives itself; nothing is exchanged. Not thread safe.
  */
 class PriorityAdmission final : public AdmissionPolicy
 {
@@ -58,6 +59,7 @@
     /** When a job of this priority asked for admission last. */
     MonotonicTime askedAt;
     /** Processor time, in core milliseconds. */
+    DecayingSum asked;
     DecayingSum admitted;
     /** Mean time for which a job can wait, by its goal. */
     double waitMs = 0;
@@ -69,6 +71,10 @@
   /** Whether jobs of the level asked for admission lately. */
   static bool IsActive(const Level& aLevel, MonotonicTime aNow);
   static std::size_t CountActive(const Levels& aLevels, MonotonicTime aNow);
+  /** Whether much of the work that was asked for lately was not admitted. */
+  static bool IsOverloaded(const Levels& aLevels, MonotonicTime aNow);
+  /** The admitted work of all levels, in core milliseconds. */
+  static double Admitted(const Levels& aLevels, MonotonicTime aNow);
   /** What each active level is guaranteed, in core milliseconds. */
   double GuaranteedWork(const Levels& aLevels, MonotonicTime aNow) const;
   /** The limit halves with each active level up to aPriority. */
--- a/Tests/LibJob/PriorityAdmissionTest.cpp
+++ b/Tests/LibJob/PriorityAdmissionTest.cpp
@@ -124,16 +124,35 @@
   }
 }
 
+// Shorter queues rejected jobs at a load that nearly fitted, and left workers
+// idle.
+TEST_CASE("nothing is limited while nearly all work is admitted")
+{
+  PriorityAdmission policy(0);
+  auto urgent = MakeJob({ 0, 8, Milliseconds(60), 1 }, kStart);
+  auto other = MakeJob({ 2, 4, Milliseconds(900), 1 }, kStart);
+  for (int i = 0; i < 19; ++i) {
+    policy.OnAsked(urgent, kStart);
+    policy.OnAdmitted(urgent, kStart);
+    policy.OnAsked(other, kStart);
+    policy.OnAdmitted(other, kStart);
+  }
+  policy.OnAsked(other, kStart);
+  CHECK_FALSE(policy.MaxStartDelay(other, kStart));
+  policy.OnAsked(other, kStart);
+  policy.OnAsked(other, kStart);
+  CHECK(policy.MaxStartDelay(other, kStart));
+}
+
 TEST_CASE("routes of another service don't limit a job")
 {
-  PriorityAdmission policy(kGuaranteedShare);
+  PriorityAdmission policy(0);
   Route urgent{ 0, 8, Milliseconds(60), 1 };
   Route other{ 2, 4, Milliseconds(900), 1 };
   auto job = MakeJob(other, kStart);
   policy.OnAsked(MakeJob(urgent, kStart), kStart);
   policy.OnAdmitted(MakeJob(urgent, kStart), kStart);
   policy.OnAsked(job, kStart);
-  policy.OnAdmitted(job, kStart);
   CHECK(policy.MaxStartDelay(job, kStart));
   job.route.service = "ledger";
   CHECK_FALSE(policy.MaxStartDelay(job, kStart));
