--- a/review/Deployment-3.cpp
+++ b/review/Deployment-3.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t kFirstEntryHost = 11;
 constexpr std::size_t kCutHost = 41;
 constexpr std::size_t kFirstAgentHost = 61;
+constexpr int kFirstVersion = 3;
+constexpr int kSecondVersion = 7;
 constexpr int kFirstSubnet = 1;
 constexpr int kLastSubnet = 250;
 constexpr const char* kZones[] = { "worcester", "robertson", "paarl", "ceres" };
@@ -49,7 +51,7 @@
     (std::filesystem::temp_directory_path() / "review-3-XXXXXX").string();
   directory_ = ::mkdtemp(pattern.data());
   store_ = new Store3(Address(kStoreHost, kStorePort));
-  Configure();
+  Configure(kFirstVersion, options_.hasInnerQueue);
   if (options_.cutEntry >= 0) {
     auto entry = static_cast<std::size_t>(options_.cutEntry);
     cut_ = new Cut3(Address(kCutHost, kLinkPort),
@@ -97,22 +99,36 @@
   return path;
 }
 
+Json
+Deployment3::Queue(const std::string& aName, const std::string& aPrefix) const
+{
+  return { { "name", aName },
+           { "host", kHostName },
+           { "pathPrefix", aPrefix },
+           { "service", "tally" },
+           { "priority", 0 },
+           { "targetLatencyMs", options_.targetLatencyMs },
+           { "timeoutMs", options_.timeoutMs },
+           { "maxAttempts", 4 },
+           { "stretch", 1.6 } };
+}
+
+void
+Deployment3::Configure(int aVersion, bool aHasInnerQueue)
+{
+  auto routes = Json::array({ Queue("tally", "/tally/") });
+  if (aHasInnerQueue) {
+    routes.push_back(Queue("recon", "/tally/recon/"));
+  }
+  store_->Put("op",
+              "config",
+              Json{ { "version", aVersion }, { "routes", routes } }.dump());
+}
+
 void
-Deployment3::Configure()
+Deployment3::DropInnerQueue()
 {
-  Json route{ { "name", "tally" },
-              { "host", kHostName },
-              { "pathPrefix", "/tally/" },
-              { "service", "tally" },
-              { "priority", 0 },
-              { "targetLatencyMs", options_.targetLatencyMs },
-              { "timeoutMs", options_.timeoutMs },
-              { "maxAttempts", 4 },
-              { "stretch", 1.6 } };
-  store_->Put(
-    "op",
-    "config",
-    Json{ { "version", 3 }, { "routes", Json::array({ route }) } }.dump());
+  Configure(kSecondVersion, false);
 }
 
 void
--- a/review/Deployment-3.h
+++ b/review/Deployment-3.h
@@ -15,6 +15,8 @@
   /** The latency target and the time-out of the queue. */
   std::int64_t targetLatencyMs = 60;
   std::int64_t timeoutMs = 1500;
+  /** Whether there is a queue at /tally/recon/, besides the one at /tally/. */
+  bool hasInnerQueue = false;
   /** Agents reach this entry through a Cut3; -1 for none. */
   int cutEntry = -1;
 };
@@ -39,6 +41,8 @@
   /** Sends the signal to all processes of the project and awaits their end. */
   void KillAll();
   Cut3& Cut() { return *cut_; }
+  /** Writes a newer version of the desired state, without the inner queue. */
+  void DropInnerQueue();
 
   std::string Front(std::size_t aEntry) const;
   /** All runs of the job at all runners, by the time of their start. */
@@ -60,7 +64,8 @@
   pid_t Launch(const std::string& aProgram,
                const std::string& aSettings,
                const std::string& aName);
-  void Configure();
+  void Configure(int aVersion, bool aHasInnerQueue);
+  Json Queue(const std::string& aName, const std::string& aPrefix) const;
   bool IsReady(std::size_t aEntry);
 
   DeploymentOptions3 options_;
--- a/review/Main-3.cpp
+++ b/review/Main-3.cpp
@@ -14,10 +14,14 @@
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
 constexpr const char* kHostName = "kiosk.example";
+const std::string kQueue = "/tally/";
+const std::string kInnerQueue = "/tally/recon/";
 
 /** Bounds of the site karoo-shell. */
 constexpr std::int64_t kCancelMs = 3000;
 constexpr std::int64_t kRetransmitMs = 1300;
+constexpr std::int64_t kAckMs = 4000;
+constexpr std::int64_t kConfigApplyMs = 2000;
 
 bool
 IsTroubled()
@@ -34,7 +38,8 @@
        std::size_t aEntry,
        const std::string& aJob,
        const std::string& aBody,
-       std::int64_t aDeadlineMs)
+       std::int64_t aDeadlineMs,
+       const std::string& aQueue = kQueue)
     : deployment_(aDeployment)
     , job_(aJob)
     , socket_(ConnectTo(aDeployment.Front(aEntry)))
@@ -44,16 +49,14 @@
                     std::to_string(aEntry + 1));
     isSent_ = SendAll(
       socket_,
-      FormatRequest(
-        "POST", Deployment3::PathOf(aJob), kHostName, aBody, aDeadlineMs));
+      FormatRequest("POST", aQueue + aJob, kHostName, aBody, aDeadlineMs));
   }
 
   /** Asks for the job's state on the same connection. */
   void AskState()
   {
     deployment_.Log("GET of the job on the same connection");
-    SendAll(socket_,
-            FormatRequest("GET", Deployment3::PathOf(job_), kHostName, ""));
+    SendAll(socket_, FormatRequest("GET", kQueue + job_, kHostName, ""));
   }
   void Close()
   {
@@ -79,14 +82,13 @@
 };
 
 int
-Cancel(Deployment3& aDeployment, std::size_t aEntry, const std::string& aJob)
+Cancel(Deployment3& aDeployment,
+       std::size_t aEntry,
+       const std::string& aJob,
+       const std::string& aQueue = kQueue)
 {
-  auto answer = review::Call(aDeployment.Front(aEntry),
-                             "DELETE",
-                             Deployment3::PathOf(aJob),
-                             "",
-                             4000,
-                             kHostName);
+  auto answer = review::Call(
+    aDeployment.Front(aEntry), "DELETE", aQueue + aJob, "", kAckMs, kHostName);
   aDeployment.Log("DELETE of job " + aJob + " at entry " +
                   std::to_string(aEntry + 1) + ": " + answer.start);
   return answer.Status();
@@ -282,6 +284,48 @@
   }
   return late > 0 ? kBroken : kHeld;
 }
+
+/** The queue of a job is dropped from the desired state, then the job is
+ * cancelled. */
+int
+RunCancelInDroppedQueue(const std::string& aRecord)
+{
+  constexpr int kTaskMs = 1000;
+  constexpr std::size_t kTasks = 500;
+  constexpr std::int64_t kDeadlineMs = 20'000;
+  DeploymentOptions3 options;
+  options.targetLatencyMs = kDeadlineMs;
+  options.timeoutMs = kDeadlineMs;
+  options.hasInnerQueue = true;
+  Deployment3 deployment(options, aRecord);
+  if (!deployment.WaitUntilReady()) {
+    return kCouldNotRun;
+  }
+  auto job = deployment.NewJob();
+  Post post(deployment,
+            0,
+            job,
+            Deployment3::JobBody(kTasks, kTaskMs, kTaskMs),
+            kDeadlineMs,
+            kInnerQueue);
+  SleepMs(500);
+  if (IsTroubled()) {
+    deployment.Log("a newer desired state has no queue " + kInnerQueue);
+    deployment.DropInnerQueue();
+  }
+  SleepMs(kConfigApplyMs + 500);
+  int status = Cancel(deployment, 1, job, kInnerQueue);
+  // A cancel without an ack counts from when it has waited for ackMs.
+  auto countsFrom = NowMs() + (IsCancelAcked(status) ? 0 : kAckMs);
+  post.Await(kDeadlineMs);
+  SleepMs(500);
+  deployment.LogRuns(job);
+  auto late = StartsAfterCancel(deployment, job, countsFrom);
+  if (status == 0 || deployment.RunsOf(job).empty()) {
+    return kCouldNotRun;
+  }
+  return late > 0 ? kBroken : kHeld;
+}
 }
 
 int
@@ -300,6 +344,8 @@
     result = RunCancelAtCutEntry(record);
   } else if (name == "cancel-before-kill") {
     result = RunCancelBeforeKill(record);
+  } else if (name == "cancel-in-dropped-queue") {
+    result = RunCancelInDroppedQueue(record);
   } else {
     std::cerr << "unknown case\n";
   }
