--- a/review/Deployment-3.cpp
+++ b/review/Deployment-3.cpp
@@ -225,6 +225,12 @@
   }
 }
 
+void
+Deployment3::StopEntry(std::size_t aIndex)
+{
+  ::kill(entries_[aIndex], SIGTERM);
+}
+
 bool
 Deployment3::IsReady(std::size_t aEntry)
 {
--- a/review/Deployment-3.h
+++ b/review/Deployment-3.h
@@ -40,6 +40,8 @@
   void StartAgent(std::size_t aIndex);
   /** Sends the signal to all processes of the project and awaits their end. */
   void KillAll();
+  /** Sends SIGTERM to an entry, as the platform does to stop it. */
+  void StopEntry(std::size_t aIndex);
   Cut3& Cut() { return *cut_; }
   /** Writes a newer version of the desired state, without the inner queue. */
   void DropInnerQueue();
--- a/review/Main-3.cpp
+++ b/review/Main-3.cpp
@@ -326,6 +326,80 @@
   }
   return late > 0 ? kBroken : kHeld;
 }
+
+/**
+ * An entry is stopped as planned while clients cancel jobs over connections
+ * that they have opened before.
+ */
+int
+RunCancelAtStop(const std::string& aRecord)
+{
+  constexpr int kTaskMs = 1000;
+  constexpr std::size_t kJobs = 100;
+  constexpr std::size_t kTasks = 5;
+  constexpr std::size_t kJobsPerCancel = 4;
+  constexpr std::int64_t kDeadlineMs = 20'000;
+  /** When the first cancel is sent, after the SIGTERM, and the gap between. */
+  constexpr std::int64_t kFirstCancelMs = 2510;
+  constexpr std::int64_t kCancelGapMs = 7;
+  DeploymentOptions3 options;
+  options.targetLatencyMs = kDeadlineMs;
+  options.timeoutMs = kDeadlineMs;
+  Deployment3 deployment(options, aRecord);
+  if (!deployment.WaitUntilReady()) {
+    return kCouldNotRun;
+  }
+  std::vector<std::unique_ptr<Post>> posts;
+  std::vector<std::string> jobs;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    jobs.push_back(deployment.NewJob());
+    posts.push_back(
+      std::make_unique<Post>(deployment,
+                             0,
+                             jobs.back(),
+                             Deployment3::JobBody(kTasks, kTaskMs, kTaskMs),
+                             kDeadlineMs));
+  }
+  std::vector<int> channels;
+  for (std::size_t i = 0; i < kJobs / kJobsPerCancel; ++i) {
+    channels.push_back(ConnectTo(deployment.Front(1)));
+  }
+  SleepMs(200);
+  auto stoppedAt = NowMs();
+  if (IsTroubled()) {
+    deployment.Log("SIGTERM to entry 2");
+    deployment.StopEntry(1);
+  }
+  std::map<std::string, std::int64_t> ackedAt;
+  for (std::size_t i = 0; i < channels.size(); ++i) {
+    SleepUntil(stoppedAt + kFirstCancelMs +
+               static_cast<std::int64_t>(i) * kCancelGapMs);
+    const auto& job = jobs[(i + 1) * kJobsPerCancel - 1];
+    HttpReader reader(channels[i]);
+    HttpMessage answer;
+    bool isAnswered =
+      SendAll(channels[i],
+              FormatRequest("DELETE", kQueue + job, kHostName, "")) &&
+      reader.Read(answer, kAckMs);
+    deployment.Log("DELETE of job " + job +
+                   " at entry 2: " + (isAnswered ? answer.start : "no answer"));
+    if (isAnswered && IsCancelAcked(answer.Status())) {
+      ackedAt[job] = NowMs();
+    }
+  }
+  for (auto& post : posts) {
+    post->Await(kDeadlineMs + 1000);
+  }
+  std::size_t late = 0;
+  for (const auto& [job, time] : ackedAt) {
+    deployment.LogRuns(job);
+    late += StartsAfterCancel(deployment, job, time);
+  }
+  if (ackedAt.empty()) {
+    return kCouldNotRun;
+  }
+  return late > 0 ? kBroken : kHeld;
+}
 }
 
 int
@@ -346,6 +420,8 @@
     result = RunCancelBeforeKill(record);
   } else if (name == "cancel-in-dropped-queue") {
     result = RunCancelInDroppedQueue(record);
+  } else if (name == "cancel-at-stop") {
+    result = RunCancelAtStop(record);
   } else {
     std::cerr << "unknown case\n";
   }
