review: Case 12, a late start in a runner's next life

A stop that one life of a runner has accepted doesn't bind the next life under the same id, and nothing keeps a late start out there until the agent has fenced it. Done: review/12 shows it on real processes, with an agent that is frozen while its runner begins the next life. The stand-ins learn starts that are carried out late and runners that crash and start again. The processes of a test end with it, also if it is killed.

--- a/review/Deployment-3.cpp
+++ b/review/Deployment-3.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -192,6 +193,8 @@
   auto log = directory_ + "/" + aName + ".log";
   pid_t process = ::fork();
   if (process == 0) {
+    // It ends with the test, also if that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(file, STDOUT_FILENO);
     ::dup2(file, STDERR_FILENO);
@@ -226,9 +229,15 @@
 }
 
 void
-Deployment3::StopEntry(std::size_t aIndex)
+Deployment3::FreezeAgent(std::size_t aIndex)
 {
-  ::kill(entries_[aIndex], SIGTERM);
+  ::kill(agents_[aIndex], SIGSTOP);
+}
+
+void
+Deployment3::ThawAgent(std::size_t aIndex)
+{
+  ::kill(agents_[aIndex], SIGCONT);
 }
 
 bool
--- a/review/Deployment-3.h
+++ b/review/Deployment-3.h
@@ -40,8 +40,11 @@
   void StartAgent(std::size_t aIndex);
   /** Sends the signal to all processes of the project and awaits their end. */
   void KillAll();
-  /** Sends SIGTERM to an entry, as the platform does to stop it. */
-  void StopEntry(std::size_t aIndex);
+  /** The agent stands still until ThawAgent(). */
+  void FreezeAgent(std::size_t aIndex);
+  void ThawAgent(std::size_t aIndex);
+  std::size_t CountRunners() const { return runners_.size(); }
+  Runner3& Runner(std::size_t aIndex) { return *runners_[aIndex]; }
   Cut3& Cut() { return *cut_; }
   /** Writes a newer version of the desired state, without the inner queue. */
   void DropInnerQueue();
--- a/review/Main-3.cpp
+++ b/review/Main-3.cpp
@@ -328,20 +328,39 @@
 }
 
 /**
- * An entry is stopped as planned while clients cancel jobs over connections
- * that they have opened before.
+ * The next start of the job that reaches any runner gets no answer and is
+ * carried out later. Returns the index of that runner.
+ */
+std::size_t
+AwaitDelayedStart(Deployment3& aDeployment)
+{
+  constexpr std::int64_t kBoundMs = 1000;
+  auto until = NowMs() + kBoundMs;
+  std::size_t index = aDeployment.CountRunners();
+  while (index == aDeployment.CountRunners() && NowMs() < until) {
+    SleepMs(1);
+    for (std::size_t i = 0; i < aDeployment.CountRunners(); ++i) {
+      index = aDeployment.Runner(i).HasDelayedStart() ? i : index;
+    }
+  }
+  for (std::size_t i = 0; i < aDeployment.CountRunners(); ++i) {
+    aDeployment.Runner(i).DelayStartOf("", 0);
+  }
+  return index;
+}
+
+/**
+ * A start gets no answer, and its task runs elsewhere. The runner crashes while
+ * its agent is frozen, and carries the start out in its next life.
  */
 int
-RunCancelAtStop(const std::string& aRecord)
+RunLateStart(const std::string& aRecord)
 {
-  constexpr int kTaskMs = 1000;
-  constexpr std::size_t kJobs = 100;
-  constexpr std::size_t kTasks = 5;
-  constexpr std::size_t kJobsPerCancel = 4;
-  constexpr std::int64_t kDeadlineMs = 20'000;
-  /** When the first cancel is sent, after the SIGTERM, and the gap between. */
-  constexpr std::int64_t kFirstCancelMs = 2510;
-  constexpr std::int64_t kCancelGapMs = 7;
+  constexpr int kTaskMs = 3600;
+  constexpr std::int64_t kDeadlineMs = 6000;
+  constexpr std::int64_t kLateMs = 2500;
+  constexpr std::int64_t kFreezeMs = 4000;
+  constexpr std::int64_t kDownMs = 800;
   DeploymentOptions3 options;
   options.targetLatencyMs = kDeadlineMs;
   options.timeoutMs = kDeadlineMs;
@@ -349,56 +368,41 @@
   if (!deployment.WaitUntilReady()) {
     return kCouldNotRun;
   }
-  std::vector<std::unique_ptr<Post>> posts;
-  std::vector<std::string> jobs;
-  for (std::size_t i = 0; i < kJobs; ++i) {
-    jobs.push_back(deployment.NewJob());
-    posts.push_back(
-      std::make_unique<Post>(deployment,
-                             0,
-                             jobs.back(),
-                             Deployment3::JobBody(kTasks, kTaskMs, kTaskMs),
-                             kDeadlineMs));
-  }
-  std::vector<int> channels;
-  for (std::size_t i = 0; i < kJobs / kJobsPerCancel; ++i) {
-    channels.push_back(ConnectTo(deployment.Front(1)));
+  auto job = deployment.NewJob();
+  for (std::size_t i = 0; IsTroubled() && i < options.agents; ++i) {
+    deployment.Runner(i).DelayStartOf(job, kLateMs);
   }
-  SleepMs(200);
-  auto stoppedAt = NowMs();
+  Post post(
+    deployment, 0, job, Deployment3::JobBody(1, kTaskMs, kTaskMs), kDeadlineMs);
   if (IsTroubled()) {
-    deployment.Log("SIGTERM to entry 2");
-    deployment.StopEntry(1);
-  }
-  std::map<std::string, std::int64_t> ackedAt;
-  for (std::size_t i = 0; i < channels.size(); ++i) {
-    SleepUntil(stoppedAt + kFirstCancelMs +
-               static_cast<std::int64_t>(i) * kCancelGapMs);
-    const auto& job = jobs[(i + 1) * kJobsPerCancel - 1];
-    HttpReader reader(channels[i]);
-    HttpMessage answer;
-    bool isAnswered =
-      SendAll(channels[i],
-              FormatRequest("DELETE", kQueue + job, kHostName, "")) &&
-      reader.Read(answer, kAckMs);
-    deployment.Log("DELETE of job " + job +
-                   " at entry 2: " + (isAnswered ? answer.start : "no answer"));
-    if (isAnswered && IsCancelAcked(answer.Status())) {
-      ackedAt[job] = NowMs();
+    auto index = AwaitDelayedStart(deployment);
+    if (index == options.agents) {
+      return kCouldNotRun;
     }
+    auto name = "i-" + std::to_string(index);
+    deployment.Log("a start gets no answer from runner " + name +
+                   ", which carries it out 2.5 s later");
+    SleepMs(500);
+    deployment.Log("the agent of the runner freezes");
+    deployment.FreezeAgent(index);
+    auto frozenAt = NowMs();
+    SleepMs(500);
+    deployment.Log("the runner crashes");
+    deployment.Runner(index).Crash();
+    SleepMs(kDownMs);
+    deployment.Runner(index).Restart();
+    deployment.Log("the runner has started again under its id");
+    SleepUntil(frozenAt + kFreezeMs);
+    deployment.ThawAgent(index);
+    deployment.Log("the agent goes on");
   }
-  for (auto& post : posts) {
-    post->Await(kDeadlineMs + 1000);
-  }
-  std::size_t late = 0;
-  for (const auto& [job, time] : ackedAt) {
-    deployment.LogRuns(job);
-    late += StartsAfterCancel(deployment, job, time);
-  }
-  if (ackedAt.empty()) {
+  post.Await(2 * kDeadlineMs);
+  SleepMs(500);
+  deployment.LogRuns(job);
+  if (deployment.RunsOf(job).empty()) {
     return kCouldNotRun;
   }
-  return late > 0 ? kBroken : kHeld;
+  return LongestOverlap(deployment, job) > 0 ? kBroken : kHeld;
 }
 }
 
@@ -420,8 +424,8 @@
     result = RunCancelBeforeKill(record);
   } else if (name == "cancel-in-dropped-queue") {
     result = RunCancelInDroppedQueue(record);
-  } else if (name == "cancel-at-stop") {
-    result = RunCancelAtStop(record);
+  } else if (name == "late-start") {
+    result = RunLateStart(record);
   } else {
     std::cerr << "unknown case\n";
   }
--- a/review/Net-3.cpp
+++ b/review/Net-3.cpp
@@ -242,7 +242,8 @@
 }
 
 HttpServer::HttpServer(const std::string& aAddress, Handler aHandler)
-  : handler_(std::move(aHandler))
+  : address_(aAddress)
+  , handler_(std::move(aHandler))
   , listener_(ListenOn(aAddress))
 {
   if (listener_ >= 0) {
@@ -250,32 +251,76 @@
   }
 }
 
+void
+HttpServer::GoDown()
+{
+  constexpr std::int64_t kAcceptEndsMs = 20;
+  int listener = listener_.exchange(-1);
+  ::shutdown(listener, SHUT_RDWR);
+  {
+    std::scoped_lock lock(mutex_);
+    ++crashes_;
+    for (int connection : connections_) {
+      // Its thread closes it, which resets it.
+      linger reset{ 1, 0 };
+      setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+      ::shutdown(connection, SHUT_RD);
+    }
+  }
+  SleepMs(kAcceptEndsMs);
+  ::close(listener);
+}
+
+void
+HttpServer::ComeBack()
+{
+  listener_ = ListenOn(address_);
+}
+
 void
 HttpServer::Accept()
 {
+  constexpr std::int64_t kPauseMs = 1;
   while (true) {
-    int connection = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    if (connection >= 0) {
-      SetNoDelay(connection);
-      std::thread([this, connection] { Serve(connection); }).detach();
+    int listener = listener_;
+    int connection =
+      listener < 0 ? -1 : ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (connection < 0) {
+      SleepMs(kPauseMs);
+      continue;
     }
+    SetNoDelay(connection);
+    {
+      std::scoped_lock lock(mutex_);
+      connections_.insert(connection);
+    }
+    std::thread([this, connection] { Serve(connection); }).detach();
   }
 }
 
+bool
+HttpServer::Answer(int aSocket, const HttpReply& aReply) const
+{
+  auto text = "HTTP/1.1 " + std::to_string(aReply.status) +
+              " -\r\nContent-Type: application/json\r\nContent-Length: " +
+              std::to_string(aReply.body.size()) + "\r\n\r\n" + aReply.body;
+  return SendAll(aSocket, text);
+}
+
 void
 HttpServer::Serve(int aSocket)
 {
   HttpReader reader(aSocket);
   HttpMessage request;
-  while (reader.Read(request)) {
+  int crashes = crashes_;
+  bool isOpen = true;
+  while (isOpen && reader.Read(request)) {
     auto reply = handler_(request);
-    auto text = "HTTP/1.1 " + std::to_string(reply.status) +
-                " -\r\nContent-Type: application/json\r\nContent-Length: " +
-                std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
-    if (!SendAll(aSocket, text)) {
-      break;
-    }
+    isOpen =
+      crashes == crashes_ && (reply.status == 0 || Answer(aSocket, reply));
   }
+  std::scoped_lock lock(mutex_);
+  connections_.erase(aSocket);
   ::close(aSocket);
 }
 
--- a/review/Net-3.h
+++ b/review/Net-3.h
@@ -1,9 +1,12 @@
 #ifndef review_Net_3_h
 #define review_Net_3_h
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -84,6 +87,7 @@
 
 struct HttpReply
 {
+  /** 0 if the request gets no answer. */
   int status = 200;
   std::string body;
 };
@@ -100,12 +104,21 @@
   HttpServer(const std::string& aAddress, Handler aHandler);
   bool IsListening() const { return listener_ >= 0; }
 
+  /** Resets all connections and refuses further ones, as a crashed process. */
+  void GoDown();
+  void ComeBack();
+
 private:
   void Accept();
   void Serve(int aSocket);
+  bool Answer(int aSocket, const HttpReply& aReply) const;
 
+  std::string address_;
   Handler handler_;
-  int listener_;
+  std::atomic<int> listener_;
+  std::atomic<int> crashes_ = 0;
+  std::mutex mutex_;
+  std::set<int> connections_;
 };
 
 }
--- a/review/Platform-3.cpp
+++ b/review/Platform-3.cpp
@@ -184,6 +184,16 @@
   };
 }
 
+namespace {
+std::int64_t
+TimeOfDayMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+}
+
 Runner3::Runner3(std::string aId,
                  std::string aAddress,
                  std::string aAgent,
@@ -193,9 +203,7 @@
   , agent_(std::move(aAgent))
   , zone_(std::move(aZone))
   , bornAt_(NowMs())
-  , born_(std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count())
+  , born_(TimeOfDayMs())
   , server_(address_,
             [this](const HttpMessage& aRequest) { return Handle(aRequest); })
 {
@@ -210,6 +218,53 @@
   return records_;
 }
 
+void
+Runner3::DelayStartOf(const std::string& aJob, std::int64_t aDelayMs)
+{
+  std::scoped_lock lock(mutex_);
+  delayedJob_ = aJob;
+  delayMs_ = aDelayMs;
+}
+
+bool
+Runner3::HasDelayedStart()
+{
+  std::scoped_lock lock(mutex_);
+  return hasDelayedStart_;
+}
+
+void
+Runner3::Crash()
+{
+  {
+    std::scoped_lock lock(mutex_);
+    isDown_ = true;
+    for (const auto& [task, item] : active_) {
+      records_[item.record].endedAt = NowMs();
+      records_[item.record].how = "with the crash";
+    }
+    active_.clear();
+    barred_.clear();
+    finished_.clear();
+    lastEnd_ = 0;
+    token_ = 0;
+    leaseEnd_ = 0;
+    ended_.notify_all();
+  }
+  server_.GoDown();
+}
+
+void
+Runner3::Restart()
+{
+  std::scoped_lock lock(mutex_);
+  isDown_ = false;
+  ++life_;
+  bornAt_ = NowMs();
+  born_ = TimeOfDayMs();
+  server_.ComeBack();
+}
+
 Json
 Runner3::Common() const
 {
@@ -237,7 +292,7 @@
     return { kBadRequest, "{}" };
   }
   if (target == "/run-start") {
-    return Start(body);
+    return IsDelayed(body) ? HttpReply{ 0, "" } : Start(body);
   }
   if (target == "/run-stop") {
     return Stop(body);
@@ -264,10 +319,31 @@
   leaseEnd_ = std::max(leaseEnd_, until);
 }
 
+bool
+Runner3::IsDelayed(const Json& aBody)
+{
+  std::scoped_lock lock(mutex_);
+  bool isChosen = !delayedJob_.empty() &&
+                  aBody.at("task").get<std::string>().starts_with(delayedJob_);
+  if (!isChosen) {
+    return false;
+  }
+  delayedJob_.clear();
+  hasDelayedStart_ = true;
+  std::thread([this, aBody, delay = delayMs_] {
+    SleepMs(delay);
+    Start(aBody);
+  }).detach();
+  return true;
+}
+
 HttpReply
 Runner3::Start(const Json& aBody)
 {
   std::scoped_lock lock(mutex_);
+  if (isDown_) {
+    return { 0, "" };
+  }
   Advance();
   if (!TakeToken(aBody)) {
     return Refuse("fence");
@@ -378,26 +454,47 @@
   }
 }
 
+Json
+Runner3::Report(std::uint64_t aSequence) const
+{
+  return { { "service", "tally" },
+           { "address", address_ },
+           { "zone", zone_ },
+           { "version", "v1" },
+           { "slots", 8 },
+           { "state", "ready" },
+           { "coldRemainingMs", 0 },
+           { "capacity",
+             { { "cpu", 16000 }, { "memMb", 65536 }, { "gpus", 0 } } },
+           { "labels", Json::array({ "a", "r1-1" }) },
+           { "clockMs", Clock() },
+           { "born", born_ },
+           { "seq", aSequence } };
+}
+
 void
 Runner3::ReportForever()
 {
-  for (std::uint64_t sequence = 1;; ++sequence) {
-    Json body{ { "service", "tally" },
-               { "address", address_ },
-               { "zone", zone_ },
-               { "version", "v1" },
-               { "slots", 8 },
-               { "state", "ready" },
-               { "coldRemainingMs", 0 },
-               { "capacity",
-                 { { "cpu", 16000 }, { "memMb", 65536 }, { "gpus", 0 } } },
-               { "labels", Json::array({ "a", "r1-1" }) },
-               { "clockMs", Clock() },
-               { "born", born_ },
-               { "seq", sequence } };
+  constexpr std::int64_t kPauseMs = 5;
+  int life = 0;
+  std::uint64_t sequence = 0;
+  std::int64_t nextAt = 0;
+  while (true) {
+    SleepMs(kPauseMs);
+    Json body;
+    {
+      std::scoped_lock lock(mutex_);
+      bool isNew = life != life_;
+      if (isDown_ || (!isNew && NowMs() < nextAt)) {
+        continue;
+      }
+      life = life_;
+      sequence = isNew ? 1 : sequence + 1;
+      body = Report(sequence);
+    }
     auto answer = review::Call(
       agent_, "POST", "/Instances.Heartbeat/" + id_, body.dump(), 1000);
-    SleepMs(answer.Status() == kOk ? kReportIntervalMs : 200);
+    nextAt = NowMs() + (answer.Status() == kOk ? kReportIntervalMs : 200);
   }
 }
 
--- a/review/Platform-3.h
+++ b/review/Platform-3.h
@@ -76,6 +76,17 @@
 
   std::vector<RunRecord3> Records();
 
+  /**
+   * The next start of a task of this job gets no answer; it is carried out
+   * aDelayMs later. An empty job ends that.
+   */
+  void DelayStartOf(const std::string& aJob, std::int64_t aDelayMs);
+  bool HasDelayedStart();
+  /** The process ends at once, with all that runs. */
+  void Crash();
+  /** It starts again under its id and knows nothing of before. */
+  void Restart();
+
 private:
   struct Active
   {
@@ -92,6 +103,8 @@
   };
 
   HttpReply Handle(const HttpMessage& aRequest);
+  /** Whether the start gets no answer; it is carried out later, then. */
+  bool IsDelayed(const Json& aBody);
   HttpReply Start(const Json& aBody);
   HttpReply Stop(const Json& aBody);
   HttpReply Hold(const Json& aBody);
@@ -104,6 +117,7 @@
   void Advance();
   void AdvanceForever();
   void ReportForever();
+  Json Report(std::uint64_t aSequence) const;
   std::int64_t Clock() const { return NowMs() - bornAt_; }
   Json Common() const;
 
@@ -115,6 +129,12 @@
   std::int64_t born_;
   std::mutex mutex_;
   std::condition_variable ended_;
+  bool isDown_ = false;
+  /** The number of this life. */
+  int life_ = 1;
+  std::string delayedJob_;
+  std::int64_t delayMs_ = 0;
+  bool hasDelayedStart_ = false;
   std::uint64_t token_ = 0;
   std::int64_t leaseEnd_ = 0;
   std::map<std::string, Active> active_;
